Set up the workspace, the design page and the core package

Cause: the repository was empty.

Change: an npm workspace of five packages with TypeScript, XO and Vitest; the design page with requirements, alternatives considered and interfaces; the core package with ranks, verdicts, SQLSTATEs, log positions, the contract and configuration schemas, the timer service, the frame codec, logging and metrics; and the interfaces between the parts of the daemon.

Conclusion: the parts can be written in parallel against the interfaces.

--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Version of the package. */
+export const packageVersion = '0.1.0';
--- /dev/null
+++ b/packages/core/src/adapters/index.ts
@@ -0,0 +1,2 @@
+export type * from './key-value-service.js';
+export * from './membership-list.js';
--- /dev/null
+++ b/packages/core/src/codec/frame-codec.ts
@@ -0,0 +1,66 @@
+import {decode, encode} from 'cbor-x';
+import {err, ok, type Result} from 'neverthrow';
+
+/** Bytes of the length field in front of each frame. */
+const headerBytes = 4;
+
+/** Greatest length of a frame's body, in bytes. */
+export const maximumFrameBytes = 1_048_576;
+
+/** Reason why received bytes are not a valid frame. */
+export enum FrameError {
+	TooLong = 'frame-too-long',
+	Malformed = 'frame-malformed',
+}
+
+/**
+ * Encodes a value as one frame: a big-endian length of 4 bytes, then CBOR.
+ *
+ * @param value - Value of plain objects, arrays, strings, numbers, booleans and byte arrays.
+ */
+export function encodeFrame(value: unknown): Buffer {
+	const body = encode(value);
+	const frame = Buffer.allocUnsafe(headerBytes + body.length);
+	frame.writeUInt32BE(body.length, 0);
+	body.copy(frame, headerBytes);
+	return frame;
+}
+
+/** Splits a stream of bytes into frames. Buffers at most one frame. */
+export class FrameDecoder {
+	#pending: Buffer = Buffer.alloc(0);
+
+	/**
+	 * Takes received bytes and returns the values of all frames that are now complete.
+	 *
+	 * @param chunk - Received bytes.
+	 * @returns The decoded values, which the caller must validate, or the error after which the stream is unusable.
+	 */
+	push(chunk: Buffer): Result<unknown[], FrameError> {
+		this.#pending = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
+		const values: unknown[] = [];
+		let offset = 0;
+		while (this.#pending.length - offset >= headerBytes) {
+			const length = this.#pending.readUInt32BE(offset);
+			if (length > maximumFrameBytes) {
+				return err(FrameError.TooLong);
+			}
+
+			const end = offset + headerBytes + length;
+			if (end > this.#pending.length) {
+				break;
+			}
+
+			try {
+				values.push(decode(this.#pending.subarray(offset + headerBytes, end)));
+			} catch {
+				return err(FrameError.Malformed);
+			}
+
+			offset = end;
+		}
+
+		this.#pending = this.#pending.subarray(offset);
+		return ok(values);
+	}
+}
--- /dev/null
+++ b/packages/core/src/codec/index.ts
@@ -0,0 +1,1 @@
+export * from './frame-codec.js';
--- /dev/null
+++ b/packages/core/src/observability/index.ts
@@ -0,0 +1,2 @@
+export * from './log.js';
+export * from './metrics.js';
--- /dev/null
+++ b/packages/core/src/time/index.ts
@@ -0,0 +1,3 @@
+export * from './manual-timer-service.js';
+export * from './system-timer-service.js';
+export type * from './timer-service.js';
--- /dev/null
+++ b/packages/core/src/version/index.ts
@@ -0,0 +1,2 @@
+export * from './configuration.js';
+export * from './contract.js';
--- /dev/null
+++ b/packages/daemon/src/connection/index.ts
@@ -0,0 +1,1 @@
+export * from './peer-network.js';
--- /dev/null
+++ b/packages/daemon/src/process/index.ts
@@ -0,0 +1,2 @@
+export * from './host-directory.js';
+export type * from './ownership-table.js';
--- /dev/null
+++ b/packages/daemon/src/version/index.ts
@@ -0,0 +1,1 @@
+export type * from './configuration-store.js';
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,61 @@
+/** @type {import('xo').FlatXoConfig} */
+const config = [
+	{ignores: ['**/dist/**', 'coverage/**', 'reports/**']},
+	{
+		rules: {
+			// The house style stores data in enums and releases resources with `await using`.
+			'no-restricted-syntax': 'off',
+			'unicorn/no-process-exit': 'off',
+			// Connections and peers are served by one task each, written as a sequential loop.
+			'no-await-in-loop': 'off',
+			complexity: ['error', 15],
+			'max-lines': ['error', {max: 450, skipBlankLines: true, skipComments: true}],
+			'max-params': ['error', 5],
+			'no-bitwise': 'off',
+			// Log lines and messages in enums need no further rule on capitalization of comments.
+			'capitalized-comments': 'off',
+			'no-warning-comments': 'off',
+		},
+	},
+	{
+		files: ['**/*.ts'],
+		rules: {
+			'@typescript-eslint/naming-convention': 'off',
+			'@typescript-eslint/class-literal-property-style': 'off',
+			'@typescript-eslint/prefer-promise-reject-errors': 'error',
+			'n/no-unsupported-features/node-builtins': 'off',
+			// Node.js streams and the PostgreSQL libraries exchange Buffer objects.
+			'n/prefer-global/buffer': 'off',
+			'n/prefer-global/process': 'off',
+			'@typescript-eslint/no-restricted-types': 'off',
+			'@typescript-eslint/no-empty-function': 'off',
+			'@stylistic/curly-newline': 'off',
+			'unicorn/no-useless-undefined': 'off',
+			'unicorn/prevent-abbreviations': 'off',
+			'@typescript-eslint/promise-function-async': 'off',
+		},
+	},
+	{
+		files: ['**/tests/**/*.ts', 'vitest.config.ts'],
+		rules: {
+			'max-lines': 'off',
+			'@typescript-eslint/no-unsafe-assignment': 'off',
+			'@typescript-eslint/no-unsafe-call': 'off',
+			'@typescript-eslint/no-unsafe-member-access': 'off',
+			'@typescript-eslint/no-unsafe-argument': 'off',
+			'@typescript-eslint/no-unsafe-return': 'off',
+			'@typescript-eslint/restrict-plus-operands': 'off',
+			// The test runner is a development dependency of the workspace root.
+			'import-x/no-extraneous-dependencies': 'off',
+			'n/no-extraneous-import': 'off',
+		},
+	},
+	{
+		files: ['packages/daemon/src/request/**/*.ts'],
+		rules: {
+			'no-restricted-imports': ['error', {patterns: ['**/connection/**', '**/process/**']}],
+		},
+	},
+];
+
+export default config;
