Add the request router, the peer gateway, settings and example contracts

Cause: requests need a path from the entry host to the owner of an instance.

Change: RequestRouter chooses the instance and keeps session floors; the ReadIndexClient batches questions for read indexes; UpstreamLoadTable estimates finish times from figures that owners report; RetryBudget bounds retries; the peer gateway carries requests between hosts; settings schema; admin port; contracts of both deployments as examples.

The XO rule object-curly-newline is off: its automatic fix corrupted long lines of test tables (seen twice in this tree).

Nothing was measured on a running fleet yet.

--- a/packages/core/src/request/upstream-request.ts
+++ b/packages/core/src/request/upstream-request.ts
@@ -38,6 +38,8 @@
 	readonly floorShare: number;
 	/** Lowest log position that the instance must have applied before it runs a read. */
 	readonly minimumPosition?: LogPosition;
+	/** Time for which a read may wait until the instance reaches `minimumPosition`, in milliseconds. */
+	readonly catchUpMilliseconds: number;
 	readonly acknowledgement: AcknowledgementMode;
 	readonly idempotencyKey?: string;
 	/** Version of the configuration under which the request began. */
--- a/packages/core/src/time/manual-timer-service.ts
+++ b/packages/core/src/time/manual-timer-service.ts
@@ -23,11 +23,14 @@
 		}
 
 		await new Promise<void>(resolve => {
-			const scheduled = this.schedule(milliseconds, resolve);
-			signal?.addEventListener('abort', () => {
+			const finish = () => {
 				scheduled[Symbol.dispose]();
+				signal?.removeEventListener('abort', finish);
 				resolve();
-			}, {once: true});
+			};
+
+			const scheduled = this.schedule(milliseconds, finish);
+			signal?.addEventListener('abort', finish, {once: true});
 		});
 	}
 
--- /dev/null
+++ b/packages/daemon/src/connection/gateway/peer-upstream-gateway.ts
@@ -0,0 +1,124 @@
+import {
+	MetricName, RefusalReason, RequestKind, TransactionStatus, Verdict,
+	type Metrics, type ResponseSink, type UpstreamRequest, type UpstreamResult,
+} from '@tarragonstack/core';
+import {type InstanceExecutor, type UpstreamGateway} from '../../request/instance-executor.js';
+import {PeerMessageKind, type PeerError, type PeerNetwork} from '../peer-network.js';
+import {ChunkAssembler, splitIntoChunks} from './chunk-assembler.js';
+import {identifierSchema, upstreamRequestSchema, upstreamResultSchema} from './upstream-messages.js';
+
+/** Time beyond the request's own time limit for which the reply of the owner is awaited, in milliseconds. */
+const replyMarginMilliseconds = 100;
+
+/** What the gateway depends on. */
+export type PeerUpstreamGatewayOptions = {
+	/** Name of this host. */
+	readonly ownName: string;
+	readonly localExecutor: InstanceExecutor;
+	readonly peerNetwork: PeerNetwork;
+	readonly metrics: Metrics;
+};
+
+/** Sends requests to the owner of an instance: to the local executor or over a peer link. */
+export class PeerUpstreamGateway implements UpstreamGateway {
+	readonly #options: PeerUpstreamGatewayOptions;
+
+	/**
+	 * @param options - What the gateway depends on.
+	 */
+	constructor(options: PeerUpstreamGatewayOptions) {
+		this.#options = options;
+	}
+
+	/** Registers the handlers for the requests of other hosts. */
+	register(): void {
+		const {localExecutor, peerNetwork} = this.#options;
+		peerNetwork.handle(PeerMessageKind.SubmitRequest, async (body, context) => {
+			const request = upstreamRequestSchema.parse(body);
+			const sink: ResponseSink = {
+				async write(messages) {
+					for (const chunk of splitIntoChunks(messages)) {
+						await context.write(chunk);
+					}
+				},
+			};
+			return localExecutor.submit(request, sink, context.signal);
+		});
+		peerNetwork.handle(PeerMessageKind.CancelRequest, async body => {
+			localExecutor.cancel(identifierSchema.parse(body).identifier);
+		});
+		peerNetwork.handle(PeerMessageKind.AbandonTransaction, async body => {
+			localExecutor.abandonTransaction(identifierSchema.parse(body).identifier);
+		});
+	}
+
+	/** @inheritdoc */
+	async submit(ownerHost: string, request: UpstreamRequest, sink: ResponseSink, signal: AbortSignal): Promise<UpstreamResult> {
+		const {localExecutor, ownName} = this.#options;
+		return ownerHost === ownName
+			? localExecutor.submit(request, sink, signal)
+			: this.#submitToPeer(ownerHost, request, sink, signal);
+	}
+
+	/** @inheritdoc */
+	cancel(ownerHost: string, requestIdentifier: string): void {
+		if (ownerHost === this.#options.ownName) {
+			this.#options.localExecutor.cancel(requestIdentifier);
+		} else {
+			this.#options.peerNetwork.notify(ownerHost, PeerMessageKind.CancelRequest, {identifier: requestIdentifier});
+		}
+	}
+
+	/** @inheritdoc */
+	abandonTransaction(ownerHost: string, transactionIdentifier: string): void {
+		if (ownerHost === this.#options.ownName) {
+			this.#options.localExecutor.abandonTransaction(transactionIdentifier);
+		} else {
+			this.#options.peerNetwork.notify(ownerHost, PeerMessageKind.AbandonTransaction, {identifier: transactionIdentifier});
+		}
+	}
+
+	async #submitToPeer(ownerHost: string, request: UpstreamRequest, sink: ResponseSink, signal: AbortSignal): Promise<UpstreamResult> {
+		const assembler = new ChunkAssembler();
+		let hasWritten = false;
+		const reply = await this.#options.peerNetwork.call(ownerHost, PeerMessageKind.SubmitRequest, request, {
+			timeoutMilliseconds: request.timeoutMilliseconds + replyMarginMilliseconds,
+			signal,
+			async onChunk(chunk) {
+				const messages = assembler.push(chunk);
+				if (messages) {
+					hasWritten = true;
+					await sink.write(messages);
+				}
+			},
+		});
+		if (reply.isErr()) {
+			return this.#createFailure(request, reply.error, hasWritten);
+		}
+
+		const result = upstreamResultSchema.safeParse(reply.value);
+		if (!result.success) {
+			return this.#createFailure(request, {verdict: Verdict.MayHaveRun, message: `host "${ownerHost}" sent an invalid result`}, hasWritten);
+		}
+
+		return result.data;
+	}
+
+	#createFailure(request: UpstreamRequest, error: PeerError, hasWritten: boolean): UpstreamResult {
+		// A read has no effect, so it counts as not run unless the caller already received a part of its response.
+		const isHarmless = request.kind === RequestKind.Read && !hasWritten;
+		const verdict = isHarmless ? Verdict.NotRun : error.verdict;
+		if (verdict !== Verdict.NotRun) {
+			this.#options.metrics.increment(MetricName.RequestOutcomeUnknown, 1, {customer: request.customer, rank: request.rank});
+		}
+
+		return {
+			verdict,
+			transactionStatus: TransactionStatus.Idle,
+			refusal: {
+				reason: verdict === Verdict.NotRun ? RefusalReason.NoUpstream : RefusalReason.OutcomeUnknown,
+				message: `the request to instance "${request.upstream}" failed: ${error.message}`,
+			},
+		};
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/connection/gateway/read-index-service.ts
@@ -0,0 +1,118 @@
+import {type Logger, type TimerService} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {type GroupView} from '../../request/group-view.js';
+import {type ReadIndex, type ReadIndexSource} from '../../request/routing/read-index-source.js';
+import {type TermConfirmation} from '../../request/term-confirmation.js';
+import {PeerMessageKind, type PeerNetwork} from '../peer-network.js';
+import {primaryChangedSchema, readIndexQuestionSchema, readIndexReplySchema} from './upstream-messages.js';
+
+/** Time after which another owner is asked, in milliseconds. */
+const peerTimeoutMilliseconds = 100;
+
+/** Greatest number of hosts that are told of a new primary. In a larger fleet the others learn it with their next request. */
+const maximumNotifiedHosts = 32;
+
+/** What the service depends on. */
+export type ReadIndexServiceOptions = {
+	readonly groupView: GroupView;
+	readonly termConfirmation: TermConfirmation;
+	readonly peerNetwork: PeerNetwork;
+	/** Tells whether this host polls the members of a group. */
+	readonly isMonitored: (group: string) => boolean;
+	/** Returns the hosts that own a member of a group, nearest first, without this host. */
+	readonly getOwners: (group: string) => readonly string[];
+	/** Returns the names of the other live hosts. */
+	readonly getOtherHosts: () => readonly string[];
+	readonly timerService: TimerService;
+	readonly logger: Logger;
+};
+
+/** Answers questions for read indexes, by an own confirmation or by asking an owner of a member of the group. */
+export class ReadIndexService implements ReadIndexSource, Disposable {
+	readonly #options: ReadIndexServiceOptions;
+	readonly #subscription: Disposable;
+
+	/**
+	 * @param options - What the service depends on.
+	 */
+	constructor(options: ReadIndexServiceOptions) {
+		this.#options = options;
+		this.#subscription = options.groupView.subscribe((group, primary) => {
+			if (options.isMonitored(group)) {
+				for (const host of options.getOtherHosts().slice(0, maximumNotifiedHosts)) {
+					options.peerNetwork.notify(host, PeerMessageKind.PrimaryChanged, {group, primary});
+				}
+			}
+		});
+	}
+
+	/** Registers the handlers for the questions of other hosts. */
+	register(): void {
+		const {groupView, peerNetwork} = this.#options;
+		peerNetwork.handle(PeerMessageKind.ReadIndex, async body => {
+			const {group, timeoutMilliseconds} = readIndexQuestionSchema.parse(body);
+			const readIndex = await this.#confirm(group, timeoutMilliseconds);
+			return readIndex.isOk() ? readIndex.value : {error: readIndex.error};
+		});
+		peerNetwork.handle(PeerMessageKind.PrimaryChanged, async body => {
+			const {group, primary} = primaryChangedSchema.parse(body);
+			groupView.learnPrimary(group, primary);
+		});
+	}
+
+	/** @inheritdoc */
+	async request(group: string, timeoutMilliseconds: number): Promise<Result<ReadIndex, string>> {
+		if (this.#options.isMonitored(group)) {
+			return this.#confirm(group, timeoutMilliseconds);
+		}
+
+		const end = this.#options.timerService.now() + timeoutMilliseconds;
+		let last: Result<ReadIndex, string> = err(`no host serves group "${group}"`);
+		for (const owner of this.#options.getOwners(group)) {
+			const remaining = end - this.#options.timerService.now();
+			if (remaining <= 0) {
+				break;
+			}
+
+			last = await this.#ask(owner, group, Math.min(peerTimeoutMilliseconds, remaining));
+			if (last.isOk()) {
+				break;
+			}
+		}
+
+		return last;
+	}
+
+	/** Ends the subscription to the group view. */
+	[Symbol.dispose](): void {
+		this.#subscription[Symbol.dispose]();
+	}
+
+	async #ask(owner: string, group: string, timeoutMilliseconds: number): Promise<Result<ReadIndex, string>> {
+		const reply = await this.#options.peerNetwork.call(owner, PeerMessageKind.ReadIndex, {group, timeoutMilliseconds}, {timeoutMilliseconds});
+		if (reply.isErr()) {
+			return err(reply.error.message);
+		}
+
+		const parsed = readIndexReplySchema.safeParse(reply.value);
+		if (!parsed.success) {
+			return err(`host "${owner}" sent an invalid read index`);
+		}
+
+		return 'error' in parsed.data ? err(parsed.data.error) : ok(parsed.data);
+	}
+
+	async #confirm(group: string, timeoutMilliseconds: number): Promise<Result<ReadIndex, string>> {
+		const primary = this.#options.groupView.getPrimary(group);
+		if (!primary) {
+			return err(`group "${group}" has no known primary`);
+		}
+
+		const position = await this.#options.termConfirmation.confirm(group, primary.instance, {
+			expectedTerm: primary.term, replicated: false, timeoutMilliseconds,
+		});
+		return position
+			.map(value => ({primary, position: value}))
+			.mapErr(error => `the primary of group "${group}" was not confirmed: ${error}`);
+	}
+}
--- a/packages/daemon/src/connection/index.ts
+++ b/packages/daemon/src/connection/index.ts
@@ -1,1 +1,2 @@
+export * from './gateway/index.js';
 export * from './peer-network.js';
--- /dev/null
+++ b/packages/daemon/src/process/admin/index.ts
@@ -0,0 +1,1 @@
+export * from './admin-server.js';
--- /dev/null
+++ b/packages/daemon/src/process/settings/index.ts
@@ -0,0 +1,2 @@
+export * from './read-settings.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/daemon/src/request/routing/read-index-client.ts
@@ -0,0 +1,122 @@
+import {type TimerService} from '@tarragonstack/core';
+import {type ReadIndex, type ReadIndexSource} from './read-index-source.js';
+
+/** Time limit of one question, in milliseconds. Short, so that a lost question is repeated within most targets. */
+const questionTimeoutMilliseconds = 250;
+
+/** Pause before a failed question is repeated, in milliseconds. */
+const repeatPauseMilliseconds = 10;
+
+/** Questions of one group that may be under way at the same time. */
+const maximumQuestions = 4;
+
+type CachedReadIndex = {
+	readonly readIndex: ReadIndex;
+	readonly requestedAt: number;
+};
+
+type GroupState = {
+	cached?: CachedReadIndex;
+	questions: number;
+	/** Batch that has not been sent and that further calls may join. */
+	waiting?: Promise<CachedReadIndex | undefined>;
+	/** Resolves when one of the questions under way has ended. */
+	slotFreed: Array<() => void>;
+};
+
+/** Obtains read indexes for the reads of this host. One question covers all reads that were waiting when it was sent. */
+export class ReadIndexClient {
+	readonly #source: ReadIndexSource;
+	readonly #timerService: TimerService;
+	readonly #groups = new Map<string, GroupState>();
+
+	/**
+	 * @param source - Answers single questions.
+	 * @param timerService - Source of time.
+	 */
+	constructor(source: ReadIndexSource, timerService: TimerService) {
+		this.#source = source;
+		this.#timerService = timerService;
+	}
+
+	/**
+	 * Returns a read index that is at most as old as permitted.
+	 *
+	 * @param group - Name of the group.
+	 * @param maximumAgeMilliseconds - Permitted time since the read index was requested; 0 for one requested from now on.
+	 * @param timeoutMilliseconds - Time after which the call gives up.
+	 * @param signal - Ends the call early.
+	 * @returns The read index, or `undefined` when none was obtained in time.
+	 */
+	async get(group: string, maximumAgeMilliseconds: number, timeoutMilliseconds: number, signal: AbortSignal): Promise<ReadIndex | undefined> {
+		const state = this.#getState(group);
+		const end = this.#timerService.now() + timeoutMilliseconds;
+		const age = this.#getAge(state);
+		if (state.cached && age <= maximumAgeMilliseconds) {
+			if (age > maximumAgeMilliseconds / 2) {
+				// Refreshes the cached value before it expires, so that no read has to wait for it.
+				void this.#joinBatch(group, state);
+			}
+
+			return state.cached.readIndex;
+		}
+
+		while (this.#timerService.now() < end && !signal.aborted) {
+			const answer = await this.#joinBatch(group, state);
+			if (answer) {
+				return answer.readIndex;
+			}
+
+			await this.#timerService.sleep(Math.min(repeatPauseMilliseconds, end - this.#timerService.now()), signal);
+		}
+
+		return undefined;
+	}
+
+	#getState(group: string): GroupState {
+		let state = this.#groups.get(group);
+		if (!state) {
+			state = {questions: 0, slotFreed: []};
+			this.#groups.set(group, state);
+		}
+
+		return state;
+	}
+
+	#getAge(state: GroupState): number {
+		return state.cached ? this.#timerService.now() - state.cached.requestedAt : Number.POSITIVE_INFINITY;
+	}
+
+	async #joinBatch(group: string, state: GroupState): Promise<CachedReadIndex | undefined> {
+		state.waiting ??= this.#ask(group, state);
+		return state.waiting;
+	}
+
+	async #ask(group: string, state: GroupState): Promise<CachedReadIndex | undefined> {
+		if (state.questions >= maximumQuestions) {
+			await new Promise<void>(resolve => {
+				state.slotFreed.push(resolve);
+			});
+		} else {
+			// Lets reads that arrive in the same turn of the event loop join the batch.
+			await Promise.resolve();
+		}
+
+		state.questions++;
+		state.waiting = undefined;
+		const requestedAt = this.#timerService.now();
+		const answer = await this.#source.request(group, questionTimeoutMilliseconds);
+		state.questions--;
+		state.slotFreed.shift()?.();
+		if (answer.isErr()) {
+			return undefined;
+		}
+
+		const entry = {readIndex: answer.value, requestedAt};
+		if (!state.cached || state.cached.requestedAt < requestedAt) {
+			state.cached = entry;
+		}
+
+		return entry;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/request/routing/request-router.ts
@@ -0,0 +1,372 @@
+import {
+	compareLogPositions, MetricName, RefusalReason, RequestKind, TransactionStatus, Verdict,
+	type InstanceDefinition, type LogPosition, type Logger, type Metrics, type ResponseSink, type TimerService,
+	type UpstreamRequest, type UpstreamResult,
+} from '@tarragonstack/core';
+import {type ConfigurationStore} from '../../version/configuration-store.js';
+import {type CallerRequest, type CallerSession, type RequestExecutor} from '../caller-request.js';
+import {type GroupView, type PrimaryView} from '../group-view.js';
+import {type UpstreamGateway} from '../instance-executor.js';
+import {type ReadIndexClient} from './read-index-client.js';
+import {createNotRunResult} from './refusals.js';
+import {RetryBudget} from './retry-budget.js';
+import {type UpstreamLoadTable} from './upstream-load-table.js';
+
+/** Pause before a request that waits for a primary looks again, in milliseconds. */
+const primaryPauseMilliseconds = 20;
+
+/** Longest time for which a read waits for a replica that is behind, in milliseconds. */
+const maximumCatchUpMilliseconds = 20;
+
+/** Penalty of an instance that failed to answer, in milliseconds. */
+const failurePenaltyMilliseconds = 500;
+
+/** Penalty of a replica that was behind, in milliseconds. */
+const behindPenaltyMilliseconds = 50;
+
+/** Difference of expected finish times below which the choice is random, in milliseconds. */
+const choiceToleranceMilliseconds = 0.5;
+
+/** Reasons after which a request for the primary waits for a newer view instead of using the retry budget. */
+const primaryUnknownReasons: ReadonlySet<RefusalReason> = new Set([RefusalReason.NotPrimary, RefusalReason.NotOwner, RefusalReason.NoUpstream]);
+
+/** What the router depends on. */
+export type RequestRouterOptions = {
+	readonly configurationStore: ConfigurationStore;
+	readonly groupView: GroupView;
+	readonly gateway: UpstreamGateway;
+	readonly readIndexClient: ReadIndexClient;
+	readonly loadTable: UpstreamLoadTable;
+	/** Returns the host that owns an instance. */
+	readonly getOwner: (instance: string) => string | undefined;
+	/** Tells whether an instance gets no new work because it is leaving. */
+	readonly isLeaving: (instance: string) => boolean;
+	readonly timerService: TimerService;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	/** Returns a random number from 0 up to, but without, 1. */
+	readonly random: () => number;
+};
+
+/** One request with what its handler needs. */
+type Execution = {
+	readonly request: CallerRequest;
+	readonly session: CallerSession;
+	readonly sink: ResponseSink & {readonly hasWritten: () => boolean};
+	readonly signal: AbortSignal;
+	/** Monotonic time at which the request is given up. */
+	readonly end: number;
+};
+
+/** Chooses the instance for each request and sends the request to the owner of that instance. */
+export class RequestRouter implements RequestExecutor {
+	readonly #options: RequestRouterOptions;
+	readonly #retryBudgets = new Map<string, RetryBudget>();
+	/** Owner to which each request in progress was sent last. */
+	readonly #ownersInProgress = new Map<string, string>();
+	readonly #handlers: Readonly<Record<RequestKind, (execution: Execution) => Promise<UpstreamResult>>> = {
+		[RequestKind.Read]: execution => this.#executeRead(execution),
+		[RequestKind.Write]: execution => this.#executeOnPrimary(execution),
+		[RequestKind.Transaction]: execution => this.#executeInTransaction(execution),
+	};
+
+	/**
+	 * @param options - What the router depends on.
+	 */
+	constructor(options: RequestRouterOptions) {
+		this.#options = options;
+	}
+
+	/** @inheritdoc */
+	async execute(request: CallerRequest, session: CallerSession, sink: ResponseSink, signal: AbortSignal): Promise<UpstreamResult> {
+		let written = false;
+		const execution: Execution = {
+			request,
+			session,
+			sink: {
+				async write(messages) {
+					written = true;
+					await sink.write(messages);
+				},
+				hasWritten: () => written,
+			},
+			signal,
+			end: request.arrivedAt + request.terms.timeoutMilliseconds,
+		};
+		this.#getRetryBudget(request.group).countRequest();
+		try {
+			const result = await this.#handlers[request.kind](execution);
+			this.#raiseFloor(session, request.group, result.position);
+			return result;
+		} finally {
+			this.#ownersInProgress.delete(request.requestIdentifier);
+		}
+	}
+
+	/** @inheritdoc */
+	cancel(requestIdentifier: string): void {
+		const owner = this.#ownersInProgress.get(requestIdentifier);
+		if (owner !== undefined) {
+			this.#options.gateway.cancel(owner, requestIdentifier);
+		}
+	}
+
+	/** @inheritdoc */
+	abandonTransaction(session: CallerSession): void {
+		const {transaction} = session;
+		if (transaction) {
+			session.transaction = undefined;
+			this.#options.gateway.abandonTransaction(transaction.ownerHost, transaction.transactionIdentifier);
+		}
+	}
+
+	async #executeRead(execution: Execution): Promise<UpstreamResult> {
+		const minimumPosition = await this.#getMinimumPosition(execution);
+		if (!minimumPosition) {
+			return createNotRunResult(RefusalReason.SessionConsistency, 'the current position of the primary could not be confirmed in time');
+		}
+
+		const tried = new Set<string>();
+		let last = createNotRunResult(RefusalReason.NoUpstream, `no instance of group "${execution.request.group}" is available`);
+		while (!execution.signal.aborted && this.#options.timerService.now() < execution.end) {
+			const instance = this.#chooseReader(execution, tried);
+			if (!instance) {
+				return last;
+			}
+
+			tried.add(instance);
+			last = await this.#send(execution, instance, minimumPosition);
+			if (last.verdict !== Verdict.NotRun || execution.sink.hasWritten()) {
+				this.#countRead(execution.request, instance);
+				this.#raiseFloor(execution.session, execution.request.group, minimumPosition);
+				return last;
+			}
+
+			this.#penalize(instance, last);
+			const isBehind = last.refusal?.reason === RefusalReason.ReplicaBehind;
+			if (!isBehind && !this.#getRetryBudget(execution.request.group).tryTakeRetry()) {
+				return last;
+			}
+		}
+
+		return last;
+	}
+
+	async #executeOnPrimary(execution: Execution): Promise<UpstreamResult> {
+		let last = createNotRunResult(RefusalReason.NoUpstream, `group "${execution.request.group}" has no primary at present`);
+		let refusedTerm = -1;
+		while (!execution.signal.aborted && this.#options.timerService.now() < execution.end) {
+			const primary = await this.#findPrimary(execution, refusedTerm);
+			if (!primary) {
+				return last;
+			}
+
+			last = await this.#send(execution, primary.instance);
+			if (last.verdict !== Verdict.NotRun) {
+				return last;
+			}
+
+			const reason = last.refusal?.reason;
+			if (reason === undefined || !primaryUnknownReasons.has(reason)) {
+				return last;
+			}
+
+			refusedTerm = reason === RefusalReason.NotPrimary ? primary.term : refusedTerm;
+			await this.#pause(execution);
+		}
+
+		return last;
+	}
+
+	async #executeInTransaction(execution: Execution): Promise<UpstreamResult> {
+		const {request, session} = execution;
+		if (!session.transaction) {
+			return this.#executeOnPrimary(execution);
+		}
+
+		const {upstream, ownerHost, transactionIdentifier} = session.transaction;
+		this.#ownersInProgress.set(request.requestIdentifier, ownerHost);
+		const result = await this.#options.gateway.submit(
+			ownerHost,
+			this.#createUpstreamRequest(execution, upstream, {transactionIdentifier}),
+			execution.sink,
+			execution.signal,
+		);
+		if (result.transactionStatus === TransactionStatus.Idle) {
+			session.transaction = undefined;
+		}
+
+		return result;
+	}
+
+	async #send(execution: Execution, instance: string, minimumPosition?: LogPosition): Promise<UpstreamResult> {
+		const {request, session} = execution;
+		const {gateway, loadTable, timerService} = this.#options;
+		const owner = this.#options.getOwner(instance);
+		if (owner === undefined) {
+			return createNotRunResult(RefusalReason.NoUpstream, `no host serves instance "${instance}"`);
+		}
+
+		const transactionIdentifier = request.beginsTransaction ? request.requestIdentifier : undefined;
+		this.#ownersInProgress.set(request.requestIdentifier, owner);
+		loadTable.recordSent(instance);
+		const sentAt = timerService.now();
+		const result = await gateway.submit(
+			owner,
+			this.#createUpstreamRequest(execution, instance, {transactionIdentifier, minimumPosition}),
+			execution.sink,
+			execution.signal,
+		);
+		loadTable.recordResult(instance, result.verdict === Verdict.Ran ? timerService.now() - sentAt : undefined, result.load);
+		if (transactionIdentifier !== undefined && result.transactionStatus !== TransactionStatus.Idle) {
+			session.transaction = {transactionIdentifier, upstream: instance, ownerHost: owner};
+		}
+
+		return result;
+	}
+
+	#createUpstreamRequest(
+		{request, end}: Execution,
+		upstream: string,
+		placement: {readonly transactionIdentifier?: string; readonly minimumPosition?: LogPosition},
+	): UpstreamRequest {
+		const now = this.#options.timerService.now();
+		const {terms} = request;
+		return {
+			requestIdentifier: request.requestIdentifier,
+			customer: request.customer,
+			rank: request.rank,
+			group: request.group,
+			upstream,
+			kind: request.kind,
+			messages: request.messages,
+			hiddenParseCompletes: request.hiddenParseCompletes,
+			...(placement.transactionIdentifier !== undefined && {transactionIdentifier: placement.transactionIdentifier}),
+			beginsTransaction: request.beginsTransaction,
+			targetMilliseconds: request.arrivedAt + terms.targetLatencyMilliseconds - now,
+			timeoutMilliseconds: Math.max(0, end - now),
+			lateRefund: terms.lateRefund,
+			refusedRefund: terms.refusedRefund ?? terms.lateRefund,
+			customerWeight: request.customerWeight,
+			floorShare: terms.floorShare,
+			...(placement.minimumPosition && {minimumPosition: placement.minimumPosition}),
+			catchUpMilliseconds: Math.min(maximumCatchUpMilliseconds, terms.targetLatencyMilliseconds / 3),
+			acknowledgement: terms.acknowledgement,
+			...(request.idempotencyKey !== undefined && {idempotencyKey: request.idempotencyKey}),
+			configurationVersion: request.configurationVersion,
+		};
+	}
+
+	async #getMinimumPosition({request, session, signal, end}: Execution): Promise<LogPosition | undefined> {
+		// A session that may also be served by other hosts can have written anywhere, so its reads need a current read index.
+		const mayHaveWrittenElsewhere = session.identifier !== undefined && session.token === undefined;
+		const maximumAge = mayHaveWrittenElsewhere ? 0 : request.maximumStalenessMilliseconds;
+		const timeout = end - this.#options.timerService.now();
+		const readIndex = await this.#options.readIndexClient.get(request.group, maximumAge, timeout, signal);
+		if (!readIndex) {
+			return undefined;
+		}
+
+		this.#options.groupView.learnPrimary(request.group, readIndex.primary);
+		let {position} = readIndex;
+		for (const floor of [session.floors.get(request.group), session.token]) {
+			// A position of an older term is covered by every read index of a newer one.
+			if (floor && compareLogPositions(floor, position) > 0) {
+				position = floor;
+			}
+		}
+
+		return position;
+	}
+
+	#chooseReader(execution: Execution, tried: ReadonlySet<string>): string | undefined {
+		const {request} = execution;
+		const instances = this.#getInstances(request.group).filter(({name}) => !tried.has(name) && !this.#options.isLeaving(name));
+		const primary = this.#options.groupView.getPrimary(request.group)?.instance;
+		const replica = this.#getFastest(instances.filter(({name}) => name !== primary), request);
+		const primaryDefinition = instances.find(({name}) => name === primary);
+		if (!replica || !primaryDefinition) {
+			return replica?.name ?? primaryDefinition?.name;
+		}
+
+		const remaining = request.arrivedAt + request.terms.targetLatencyMilliseconds - this.#options.timerService.now();
+		const replicaFinish = this.#getExpectedFinish(replica, request);
+		// The primary has to carry all writes, so it takes a read only when the read would be late on every replica.
+		const usesPrimary = replicaFinish > remaining && this.#getExpectedFinish(primaryDefinition, request) < replicaFinish;
+		return usesPrimary ? primaryDefinition.name : replica.name;
+	}
+
+	#getFastest(instances: readonly InstanceDefinition[], request: CallerRequest): InstanceDefinition | undefined {
+		const finishes = instances.map(instance => this.#getExpectedFinish(instance, request));
+		const limit = Math.min(...finishes) + choiceToleranceMilliseconds;
+		const candidates = instances.filter((_, index) => finishes[index]! <= limit);
+		return candidates[Math.floor(this.#options.random() * candidates.length)];
+	}
+
+	#getExpectedFinish(instance: InstanceDefinition, request: CallerRequest): number {
+		return this.#options.loadTable.getExpectedFinish(instance.name, request.rank, instance.slots);
+	}
+
+	#getInstances(group: string): readonly InstanceDefinition[] {
+		return this.#options.configurationStore.getCurrent()?.getGroup(group)?.instances ?? [];
+	}
+
+	/**
+	 * Returns the primary of the group, waiting for one of a term greater than the refused one.
+	 *
+	 * A host that polls no member of the group learns the primary from the owners of the members.
+	 */
+	async #findPrimary(execution: Execution, refusedTerm: number): Promise<PrimaryView | undefined> {
+		const {groupView, readIndexClient, timerService} = this.#options;
+		const {group} = execution.request;
+		while (!execution.signal.aborted && timerService.now() < execution.end) {
+			const known = groupView.getPrimary(group);
+			if (known && known.term > refusedTerm) {
+				return known;
+			}
+
+			const readIndex = await readIndexClient.get(group, 0, execution.end - timerService.now(), execution.signal);
+			if (readIndex) {
+				groupView.learnPrimary(group, readIndex.primary);
+				if (readIndex.primary.term >= refusedTerm) {
+					return readIndex.primary;
+				}
+			}
+
+			await this.#pause(execution);
+		}
+
+		return undefined;
+	}
+
+	async #pause(execution: Execution): Promise<void> {
+		await this.#options.timerService.sleep(primaryPauseMilliseconds, execution.signal);
+	}
+
+	#penalize(instance: string, result: UpstreamResult): void {
+		const isBehind = result.refusal?.reason === RefusalReason.ReplicaBehind;
+		this.#options.loadTable.addPenalty(instance, isBehind ? behindPenaltyMilliseconds : failurePenaltyMilliseconds);
+	}
+
+	#countRead(request: CallerRequest, instance: string): void {
+		const isPrimary = this.#options.groupView.getPrimary(request.group)?.instance === instance;
+		this.#options.metrics.increment(isPrimary ? MetricName.PrimaryRead : MetricName.ReplicaRead, 1, {customer: request.customer, rank: request.rank});
+	}
+
+	#raiseFloor(session: CallerSession, group: string, position: LogPosition | undefined): void {
+		const floor = session.floors.get(group);
+		if (position && (!floor || compareLogPositions(position, floor) > 0)) {
+			session.floors.set(group, position);
+		}
+	}
+
+	#getRetryBudget(group: string): RetryBudget {
+		let budget = this.#retryBudgets.get(group);
+		if (!budget) {
+			budget = new RetryBudget(this.#options.timerService);
+			this.#retryBudgets.set(group, budget);
+		}
+
+		return budget;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/request/routing/upstream-load-table.ts
@@ -0,0 +1,132 @@
+import {type Rank, type TimerService, type UpstreamLoad} from '@tarragonstack/core';
+
+/** Time after which a penalty has fallen to a half, in milliseconds. An instance that recovered gets work back in seconds. */
+const penaltyHalfLifeMilliseconds = 1000;
+
+/** Greatest penalty, in milliseconds. Bounds the time until an instance is tried again. */
+const maximumPenaltyMilliseconds = 2000;
+
+/** Figures older than this say nothing about the queue, in milliseconds. */
+const loadLifetimeMilliseconds = 2000;
+
+/** Window over which the least response time is taken as the network distance, in milliseconds. */
+const distanceWindowMilliseconds = 10_000;
+
+/** Assumed service time of an instance that has not answered yet, in milliseconds. */
+const defaultServiceMilliseconds = 1;
+
+type LoadEntry = {
+	load?: UpstreamLoad;
+	loadAt: number;
+	/** Requests sent since the last figures arrived and not answered yet. */
+	outstanding: number;
+	penalty: number;
+	penaltyAt: number;
+	currentLeast: number;
+	previousLeast: number;
+	windowStart: number;
+};
+
+/** Load figures of the instances, as far as this host knows them from the responses of their owners. */
+export class UpstreamLoadTable {
+	readonly #timerService: TimerService;
+	readonly #entries = new Map<string, LoadEntry>();
+
+	/**
+	 * @param timerService - Source of time.
+	 */
+	constructor(timerService: TimerService) {
+		this.#timerService = timerService;
+	}
+
+	/**
+	 * Estimates when a request sent now would be answered.
+	 *
+	 * @param instance - Name of the instance.
+	 * @param rank - Rank of the request.
+	 * @param slots - Statements that the instance runs at the same time.
+	 * @returns Expected response time in milliseconds.
+	 */
+	getExpectedFinish(instance: string, rank: Rank, slots: number): number {
+		const entry = this.#getEntry(instance);
+		const service = entry.load?.serviceMilliseconds ?? defaultServiceMilliseconds;
+		const isFresh = this.#timerService.now() - entry.loadAt < loadLifetimeMilliseconds;
+		const reportedWait = isFresh ? entry.load?.expectedWaitMilliseconds[rank] ?? 0 : 0;
+		const ownWait = Math.max(0, entry.outstanding - slots + 1) * service / slots;
+		return this.#getDistance(entry, service) + Math.max(reportedWait, ownWait) + service + this.#getPenalty(entry);
+	}
+
+	/**
+	 * Records that a request was sent.
+	 *
+	 * @param instance - Name of the instance.
+	 */
+	recordSent(instance: string): void {
+		this.#getEntry(instance).outstanding++;
+	}
+
+	/**
+	 * Records a result.
+	 *
+	 * @param instance - Name of the instance.
+	 * @param responseMilliseconds - Time from sending to the result; `undefined` when the request was not answered.
+	 * @param load - Figures that came with the result.
+	 */
+	recordResult(instance: string, responseMilliseconds: number | undefined, load: UpstreamLoad | undefined): void {
+		const entry = this.#getEntry(instance);
+		entry.outstanding = Math.max(0, entry.outstanding - 1);
+		if (load) {
+			entry.load = load;
+			entry.loadAt = this.#timerService.now();
+		}
+
+		if (responseMilliseconds !== undefined) {
+			this.#rotateWindow(entry);
+			entry.currentLeast = Math.min(entry.currentLeast, responseMilliseconds);
+		}
+	}
+
+	/**
+	 * Makes an instance less attractive for a while, after it failed or was behind.
+	 *
+	 * @param instance - Name of the instance.
+	 * @param milliseconds - Addition to its expected finish time.
+	 */
+	addPenalty(instance: string, milliseconds: number): void {
+		const entry = this.#getEntry(instance);
+		entry.penalty = Math.min(maximumPenaltyMilliseconds, this.#getPenalty(entry) + milliseconds);
+		entry.penaltyAt = this.#timerService.now();
+	}
+
+	#getEntry(instance: string): LoadEntry {
+		let entry = this.#entries.get(instance);
+		if (!entry) {
+			const now = this.#timerService.now();
+			entry = {
+				loadAt: Number.NEGATIVE_INFINITY, outstanding: 0, penalty: 0, penaltyAt: now,
+				currentLeast: Number.POSITIVE_INFINITY, previousLeast: Number.POSITIVE_INFINITY, windowStart: now,
+			};
+			this.#entries.set(instance, entry);
+		}
+
+		return entry;
+	}
+
+	#getPenalty(entry: LoadEntry): number {
+		return entry.penalty * (0.5 ** ((this.#timerService.now() - entry.penaltyAt) / penaltyHalfLifeMilliseconds));
+	}
+
+	#getDistance(entry: LoadEntry, service: number): number {
+		const least = Math.min(entry.currentLeast, entry.previousLeast);
+		return Number.isFinite(least) ? Math.max(0, least - service) : 0;
+	}
+
+	#rotateWindow(entry: LoadEntry): void {
+		const now = this.#timerService.now();
+		if (now - entry.windowStart >= distanceWindowMilliseconds) {
+			entry.previousLeast = entry.currentLeast;
+			entry.currentLeast = Number.POSITIVE_INFINITY;
+			entry.windowStart = now;
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/tests/request/routing/read-index-client.test.ts
@@ -0,0 +1,78 @@
+import {ManualTimerService} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+import {ReadIndexClient, type ReadIndex} from '../../../src/index.js';
+
+/** Answers each question after 2 ms with a position that counts the questions. */
+class FakeReadIndexSource {
+	questions = 0;
+	failures = 0;
+
+	constructor(readonly timerService: ManualTimerService) {}
+
+	async request(): Promise<Result<ReadIndex, string>> {
+		const index = ++this.questions;
+		await this.timerService.sleep(2);
+		return index <= this.failures ? err('no majority') : ok({primary: {instance: 'a', term: 1}, position: {term: 1, index}});
+	}
+}
+
+function createClient(failures = 0) {
+	const timerService = new ManualTimerService();
+	const source = new FakeReadIndexSource(timerService);
+	source.failures = failures;
+	return {timerService, source, client: new ReadIndexClient(source, timerService)};
+}
+
+const {signal} = new AbortController();
+
+describe('ReadIndexClient', () => {
+	it('answers reads that wait together with one question, which guards against one question for each read', async () => {
+		const {client, source, timerService} = createClient();
+		const reads = Array.from({length: 100}, async () => client.get('g', 0, 1000, signal));
+		await timerService.advance(10);
+		await Promise.all(reads);
+		expect(source.questions).toBe(1);
+	});
+
+	it('sends a new question for a read that arrives while one is under way, which guards against a stale answer', async () => {
+		const {client, timerService} = createClient();
+		const first = client.get('g', 0, 1000, signal);
+		await timerService.advance(1);
+		const second = client.get('g', 0, 1000, signal);
+		await timerService.advance(10);
+		const answers = await Promise.all([first, second]);
+		expect(answers.map(answer => answer?.position.index)).toEqual([1, 2]);
+	});
+
+	it.each([
+		{ageMilliseconds: 40, permitted: 100, questions: 1, guards: 'needless questions for a fresh value'},
+		{ageMilliseconds: 80, permitted: 100, questions: 2, guards: 'a value that expires without a refresh'},
+		{ageMilliseconds: 200, permitted: 100, questions: 2, guards: 'a value older than permitted'},
+	])('guards against $guards', async ({ageMilliseconds, permitted, questions}) => {
+		const {client, source, timerService} = createClient();
+		const first = client.get('g', permitted, 1000, signal);
+		await timerService.advance(10);
+		await first;
+		await timerService.advance(ageMilliseconds - 10);
+		const second = client.get('g', permitted, 1000, signal);
+		await timerService.advance(10);
+		await second;
+		expect(source.questions).toBe(questions);
+	});
+
+	it('repeats failed questions until one is answered', async () => {
+		const {client, timerService} = createClient(3);
+		const read = client.get('g', 0, 1000, signal);
+		await timerService.advance(100);
+		const answer = await read;
+		expect(answer?.position.index).toBe(4);
+	});
+
+	it('gives up at the time limit', async () => {
+		const {client, timerService} = createClient(1000);
+		const read = client.get('g', 0, 100, signal);
+		await timerService.advance(200);
+		expect(await read).toBeUndefined();
+	});
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -12,6 +12,8 @@
 			'max-lines': ['error', {max: 450, skipBlankLines: true, skipComments: true}],
 			'max-params': ['error', 5],
 			'no-bitwise': 'off',
+			// Tables of test cases keep one case a line. The automatic fix of this rule also corrupts long lines.
+			'@stylistic/object-curly-newline': 'off',
 			// Log lines and messages in enums need no further rule on capitalization of comments.
 			'capitalized-comments': 'off',
 			'no-warning-comments': 'off',
