--- /dev/null
+++ b/packages/daemon/src/connection/upstream/backend-message-reader.ts
@@ -0,0 +1,101 @@
+import {err, ok, type Result} from 'neverthrow';
+
+/** Type byte and 4-byte length. */
+const headerBytes = 5;
+
+/** Greatest message that is passed on, in bytes. Bounds the memory of one connection. */
+export const maximumMessageBytes = 16_777_216;
+
+/** Type bytes of the back-end messages that the proxy looks at. */
+export enum BackendMessageType {
+	NotificationResponse = 0x41,
+	CommandComplete = 0x43,
+	DataRow = 0x44,
+	ErrorResponse = 0x45,
+	CopyInResponse = 0x47,
+	CopyOutResponse = 0x48,
+	EmptyQueryResponse = 0x49,
+	NoticeResponse = 0x4E,
+	ParameterStatus = 0x53,
+	CopyBothResponse = 0x57,
+	ReadyForQuery = 0x5A,
+	ParseComplete = 0x31,
+	PortalSuspended = 0x73,
+}
+
+/** Splits the bytes of a server into whole messages. */
+export class BackendMessageReader {
+	#chunks: Buffer[] = [];
+	#bufferedBytes = 0;
+	/** Bytes that must be buffered before the next message can be complete. */
+	#neededBytes = headerBytes;
+
+	/**
+	 * Takes received bytes and returns the messages that are now complete, with their headers.
+	 *
+	 * @param chunk - Received bytes.
+	 * @returns The messages, or the reason why the stream is unusable.
+	 */
+	push(chunk: Buffer): Result<Buffer[], string> {
+		this.#chunks.push(chunk);
+		this.#bufferedBytes += chunk.length;
+		if (this.#bufferedBytes < this.#neededBytes) {
+			return ok([]);
+		}
+
+		const data = this.#chunks.length === 1 ? chunk : Buffer.concat(this.#chunks);
+		const messages: Buffer[] = [];
+		let offset = 0;
+		this.#neededBytes = headerBytes;
+		while (data.length - offset >= headerBytes) {
+			const messageBytes = 1 + data.readUInt32BE(offset + 1);
+			if (messageBytes < headerBytes || messageBytes > maximumMessageBytes) {
+				return err(`message of ${messageBytes} bytes is outside the limits`);
+			}
+
+			if (data.length - offset < messageBytes) {
+				this.#neededBytes = messageBytes;
+				break;
+			}
+
+			messages.push(data.subarray(offset, offset + messageBytes));
+			offset += messageBytes;
+		}
+
+		this.#chunks = offset < data.length ? [data.subarray(offset)] : [];
+		this.#bufferedBytes = data.length - offset;
+		return ok(messages);
+	}
+}
+
+/**
+ * Returns the tag of a CommandComplete message.
+ *
+ * @param message - Whole message.
+ */
+export function getCommandTag(message: Buffer): string {
+	return message.toString('latin1', headerBytes, message.length - 1);
+}
+
+/**
+ * Returns the SQLSTATE of an ErrorResponse message.
+ *
+ * @param message - Whole message.
+ */
+export function getSqlState(message: Buffer): string {
+	let offset = headerBytes;
+	while (offset < message.length && message[offset] !== 0) {
+		const end = message.indexOf(0, offset + 1);
+		if (end === -1) {
+			break;
+		}
+
+		if (message[offset] === 0x43) {
+			return message.toString('latin1', offset + 1, end);
+		}
+
+		offset = end + 1;
+	}
+
+	return '';
+}
--- /dev/null
+++ b/packages/daemon/src/connection/upstream/index.ts
@@ -0,0 +1,2 @@
+export * from './upstream-connection.js';
+export * from './upstream-pool.js';
--- /dev/null
+++ b/packages/daemon/src/connection/upstream/response-collector.ts
@@ -0,0 +1,171 @@
+import {TransactionStatus} from '@tarragonstack/core';
+import {HoldMode, type StatementOptions} from '../../request/scheduling/statement-connection.js';
+import {BackendMessageType, getCommandTag, getSqlState, maximumMessageBytes} from './backend-message-reader.js';
+
+/**
+ * Bytes of a write's response that are withheld before its first completion. A response that is lost or rejected within
+ * this prefix can be replaced by a refusal.
+ */
+export const heldPrefixBytes = 65_536;
+
+/** Command tags after which a connection may hold session state, so that it must not be reused. */
+const sessionStateTags: ReadonlySet<string> = new Set([
+	'SET',
+	'RESET',
+	'PREPARE',
+	'LISTEN',
+	'LOAD',
+	'DECLARE CURSOR',
+	'CREATE TABLE',
+	'CREATE TABLE AS',
+	'CREATE VIEW',
+	'CREATE SEQUENCE',
+	'DISCARD ALL',
+]);
+
+/** Command tags after which the effects of a transaction are durable. */
+const commitTags: ReadonlySet<string> = new Set(['COMMIT', 'PREPARE TRANSACTION', 'COMMIT PREPARED']);
+
+/** What the proxy looks at in the response of one unit, and which messages it withholds. */
+export class ResponseCollector {
+	readonly #options: StatementOptions;
+	readonly #hiddenParseCompletes: ReadonlySet<number>;
+	/** Handlers of the messages that matter; each returns whether the caller receives the message. */
+	readonly #handlers: Readonly<Partial<Record<BackendMessageType, (message: Buffer) => boolean>>> = {
+		[BackendMessageType.ReadyForQuery]: message => this.#onReadyForQuery(message),
+		[BackendMessageType.ParseComplete]: () => this.#onParseComplete(),
+		[BackendMessageType.ParameterStatus]: () => this.#onParameterStatus(),
+		[BackendMessageType.NotificationResponse]: () => false,
+		[BackendMessageType.CopyInResponse]: () => this.#onCopy(),
+		[BackendMessageType.CopyOutResponse]: () => this.#onCopy(),
+		[BackendMessageType.CopyBothResponse]: () => this.#onCopy(),
+		[BackendMessageType.CommandComplete]: message => this.#onCommandComplete(message),
+		[BackendMessageType.EmptyQueryResponse]: () => this.#onCompletionWithoutTag(),
+		[BackendMessageType.PortalSuspended]: () => this.#onCompletionWithoutTag(),
+		[BackendMessageType.ErrorResponse]: message => this.#onErrorResponse(message),
+	};
+
+	readonly #heldMessages: Buffer[] = [];
+	#heldBytes = 0;
+	#isHolding = false;
+	#isPrefixHeld: boolean;
+	#parseCompleteCount = 0;
+	#readyCount = 0;
+	#transactionStatus = TransactionStatus.Idle;
+	#sqlState: string | undefined;
+	#committed = false;
+	#changedSession = false;
+	#failure: string | undefined;
+
+	constructor(options: StatementOptions) {
+		this.#options = options;
+		this.#hiddenParseCompletes = new Set(options.hiddenParseCompletes);
+		this.#isPrefixHeld = options.holdMode === HoldMode.Completion;
+	}
+
+	/** Whether the last ReadyForQuery arrived. */
+	get isComplete(): boolean {
+		return this.#readyCount >= (this.#options.readyCount ?? 1);
+	}
+
+	get transactionStatus(): TransactionStatus {
+		return this.#transactionStatus;
+	}
+
+	get sqlState(): string | undefined {
+		return this.#sqlState;
+	}
+
+	get committed(): boolean {
+		return this.#committed;
+	}
+
+	get changedSession(): boolean {
+		return this.#changedSession;
+	}
+
+	/** Reason why the response cannot be passed on. */
+	get failure(): string | undefined {
+		return this.#failure;
+	}
+
+	get held(): Buffer {
+		return Buffer.concat(this.#heldMessages);
+	}
+
+	/**
+	 * Takes one message.
+	 *
+	 * @param message - Whole message.
+	 * @param passed - Receives the messages that are passed on now.
+	 */
+	add(message: Buffer, passed: Buffer[]): void {
+		const handle = this.#handlers[message[0] as BackendMessageType];
+		if (!handle || handle(message)) {
+			this.#route(message, passed);
+		}
+	}
+
+	#onReadyForQuery(message: Buffer): boolean {
+		this.#readyCount++;
+		this.#transactionStatus = message.toString('latin1', 5, 6) as TransactionStatus;
+		return false;
+	}
+
+	#onParseComplete(): boolean {
+		const ordinal = this.#parseCompleteCount++;
+		return !this.#hiddenParseCompletes.has(ordinal);
+	}
+
+	#onParameterStatus(): boolean {
+		this.#changedSession = true;
+		return false;
+	}
+
+	#onCopy(): boolean {
+		this.#failure = 'the COPY protocol is not supported';
+		return false;
+	}
+
+	#onCommandComplete(message: Buffer): boolean {
+		const tag = getCommandTag(message);
+		const isCommit = commitTags.has(tag);
+		this.#changedSession ||= sessionStateTags.has(tag);
+		this.#committed ||= isCommit;
+		this.#isHolding ||= this.#options.holdMode === HoldMode.Completion
+			|| (this.#options.holdMode === HoldMode.Commit && isCommit);
+		return true;
+	}
+
+	#onCompletionWithoutTag(): boolean {
+		this.#isHolding ||= this.#options.holdMode === HoldMode.Completion;
+		return true;
+	}
+
+	#onErrorResponse(message: Buffer): boolean {
+		// A FATAL error is followed by the end of the connection instead of ReadyForQuery; the caller must then receive one
+		// error only.
+		this.#isHolding = true;
+		this.#sqlState ??= getSqlState(message);
+		return true;
+	}
+
+	#route(message: Buffer, passed: Buffer[]): void {
+		if (this.#isPrefixHeld && !this.#isHolding && this.#heldBytes + message.length > heldPrefixBytes) {
+			this.#isPrefixHeld = false;
+			passed.push(...this.#heldMessages.splice(0));
+			this.#heldBytes = 0;
+		}
+
+		if (!this.#isHolding && !this.#isPrefixHeld) {
+			passed.push(message);
+			return;
+		}
+
+		this.#heldMessages.push(message);
+		this.#heldBytes += message.length;
+		if (this.#heldBytes > maximumMessageBytes) {
+			this.#failure = `more than ${maximumMessageBytes} bytes would have to be withheld`;
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/connection/upstream/upstream-connection.ts
@@ -0,0 +1,320 @@
+import {Socket} from 'node:net';
+import {TransactionStatus, Verdict} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import pg from 'pg';
+import {serialize} from 'pg-protocol';
+import {
+	type StatementConnection, type StatementOptions, type StatementOutcome,
+} from '../../request/scheduling/statement-connection.js';
+import {BackendMessageReader, BackendMessageType} from './backend-message-reader.js';
+import {ResponseCollector} from './response-collector.js';
+
+/** Time after which a cancel connection is given up, in milliseconds. */
+const cancelTimeoutMilliseconds = 2000;
+
+/** Where and how to log in. */
+export type UpstreamConnectionOptions = {
+	readonly host: string;
+	readonly port: number;
+	/** Source address of the connection. */
+	readonly localAddress: string;
+	readonly user: string;
+	readonly password: string;
+	readonly database: string;
+	/** Time after which the log-in fails. */
+	readonly timeoutMilliseconds: number;
+};
+
+/** Reason why a connection could not be opened. */
+export type UpstreamConnectionError = {
+	readonly message: string;
+	/** SQLSTATE of the server's answer, if it answered. */
+	readonly sqlState?: string;
+};
+
+type ActiveRun = {
+	readonly collector: ResponseCollector;
+	readonly options: StatementOptions;
+	readonly resolve: (outcome: StatementOutcome) => void;
+	writtenBytes: number;
+	/** Set when the sink rejected; the rest of the response is read and dropped. */
+	sinkFailed: boolean;
+};
+
+/** Connection to an instance that passes on raw back-end messages. */
+export class UpstreamConnection implements StatementConnection {
+	/**
+	 * Logs in with `pg`, then takes the socket over.
+	 *
+	 * @param options - Where and how to log in.
+	 */
+	static async open(options: UpstreamConnectionOptions): Promise<Result<UpstreamConnection, UpstreamConnectionError>> {
+		const socket = createSocket(options.localAddress);
+		const client = new pg.Client({
+			...options,
+			stream: () => socket,
+			connectionTimeoutMillis: options.timeoutMilliseconds,
+		});
+		// After the log-in the connection watches the socket itself.
+		client.on('error', () => {});
+		return new Promise(resolve => {
+			client.connect((error: Error | null | undefined) => {
+				if (error) {
+					socket.destroy();
+					const {code} = error as {code?: unknown};
+					const sqlState = error instanceof pg.DatabaseError && typeof code === 'string' ? code : undefined;
+					resolve(err({message: error.message, ...(sqlState !== undefined && {sqlState})}));
+					return;
+				}
+
+				// The parser of pg must not see another byte. This callback runs while it handles ReadyForQuery.
+				socket.removeAllListeners('data');
+				resolve(ok(new UpstreamConnection(socket, client, options)));
+			});
+		});
+	}
+
+	readonly #socket: Socket;
+	readonly #client: pg.Client;
+	readonly #options: UpstreamConnectionOptions;
+	readonly #reader = new BackendMessageReader();
+	#active: ActiveRun | undefined;
+	#isOpen = true;
+	#changedSession = false;
+	#transactionStatus = TransactionStatus.Idle;
+	#pendingCancels = 0;
+	#cancelFinished: Promise<void> = Promise.resolve();
+	readonly #closed: Promise<void>;
+
+	private constructor(socket: Socket, client: pg.Client, options: UpstreamConnectionOptions) {
+		this.#socket = socket;
+		this.#client = client;
+		this.#options = options;
+		const onLost = () => {
+			this.#fail('the connection was lost');
+		};
+
+		socket.on('data', (chunk: Buffer) => {
+			this.#receive(chunk);
+		});
+		socket.on('end', onLost);
+		socket.on('error', onLost);
+		this.#closed = new Promise(resolve => {
+			socket.on('close', () => {
+				onLost();
+				resolve();
+			});
+		});
+	}
+
+	/** Resolves when the socket is closed, so that the server no longer counts the connection. */
+	get closed(): Promise<void> {
+		return this.#closed;
+	}
+
+	/** @inheritdoc */
+	get isOpen(): boolean {
+		return this.#isOpen;
+	}
+
+	/** Whether another unit may use the connection. */
+	get isClean(): boolean {
+		return this.#isOpen && !this.#active && !this.#changedSession && this.#pendingCancels === 0
+			&& this.#transactionStatus === TransactionStatus.Idle;
+	}
+
+	/** Resolves when no cancel is in progress. */
+	get cancelFinished(): Promise<void> {
+		return this.#cancelFinished;
+	}
+
+	/** @inheritdoc */
+	async run(messages: Uint8Array, options: StatementOptions): Promise<StatementOutcome> {
+		if (this.#pendingCancels > 0) {
+			// A cancel of the previous unit that is still on its way would hit this one.
+			await this.#cancelFinished;
+		}
+
+		if (!this.#isOpen || this.#active !== undefined || !this.#socket.writable) {
+			return {
+				verdict: Verdict.NotRun,
+				transactionStatus: TransactionStatus.Idle,
+				held: Buffer.alloc(0),
+				writtenBytes: 0,
+				committed: false,
+				failure: 'the connection is not usable',
+			};
+		}
+
+		return new Promise(resolve => {
+			this.#active = {
+				collector: new ResponseCollector(options), options, resolve, writtenBytes: 0, sinkFailed: false,
+			};
+			this.#socket.write(messages);
+		});
+	}
+
+	/** @inheritdoc */
+	async cancel(): Promise<void> {
+		const {processID, secretKey} = this.#client as unknown as {processID: number | null; secretKey: number | null};
+		if (!this.#active || processID === null || secretKey === null) {
+			return;
+		}
+
+		this.#pendingCancels++;
+		const finished = this.#sendCancel(processID, secretKey).finally(() => {
+			this.#pendingCancels--;
+		});
+		this.#cancelFinished = Promise.all([this.#cancelFinished, finished]).then(() => {});
+		await finished;
+	}
+
+	/** @inheritdoc */
+	close(): void {
+		if (this.#isOpen && !this.#active && this.#socket.writable) {
+			// Terminate ends the session on the server at once.
+			this.#socket.end(serialize.end());
+			this.#socket.setTimeout(cancelTimeoutMilliseconds, () => {
+				this.#socket.destroy();
+			});
+		} else {
+			this.#socket.destroy();
+		}
+
+		this.#fail('the connection was closed');
+	}
+
+	async #sendCancel(processID: number, secretKey: number): Promise<void> {
+		const {host, port, localAddress} = this.#options;
+		const socket = new Socket();
+		await new Promise<void>(resolve => {
+			socket.once('close', () => {
+				resolve();
+			});
+			socket.on('error', () => {});
+			socket.setTimeout(cancelTimeoutMilliseconds, () => {
+				socket.destroy();
+			});
+			socket.connect({host, port, localAddress}, () => {
+				socket.write(serialize.cancel(processID, secretKey));
+			});
+			// The server closes the connection after it has handled the request.
+			socket.resume();
+		});
+	}
+
+	#receive(chunk: Buffer): void {
+		const messages = this.#reader.push(chunk);
+		if (messages.isErr()) {
+			this.#fail(messages.error);
+			return;
+		}
+
+		const active = this.#active;
+		if (!active) {
+			this.#receiveUnasked(messages.value);
+			return;
+		}
+
+		const passed: Buffer[] = [];
+		for (const message of messages.value) {
+			active.collector.add(message, passed);
+		}
+
+		if (active.collector.failure !== undefined) {
+			this.#fail(active.collector.failure);
+		} else if (passed.length === 0) {
+			this.#finishIfComplete(active);
+		} else {
+			void this.#passOn(active, passed);
+		}
+	}
+
+	async #passOn(active: ActiveRun, passed: Buffer[]): Promise<void> {
+		if (!active.sinkFailed) {
+			this.#socket.pause();
+			const bytes = passed.length === 1 ? passed[0]! : Buffer.concat(passed);
+			active.writtenBytes += bytes.length;
+			try {
+				await active.options.sink.write(bytes);
+			} catch {
+				active.sinkFailed = true;
+			}
+
+			this.#socket.resume();
+		}
+
+		this.#finishIfComplete(active);
+	}
+
+	#finishIfComplete(active: ActiveRun): void {
+		if (!active.collector.isComplete || this.#active !== active) {
+			return;
+		}
+
+		const {collector} = active;
+		this.#active = undefined;
+		this.#changedSession ||= collector.changedSession;
+		this.#transactionStatus = collector.transactionStatus;
+		active.resolve({
+			verdict: Verdict.Ran,
+			transactionStatus: collector.transactionStatus,
+			held: collector.held,
+			writtenBytes: active.writtenBytes,
+			committed: collector.committed,
+			...(collector.sqlState !== undefined && {sqlState: collector.sqlState}),
+			...(active.sinkFailed && {failure: 'the receiver of the response failed'}),
+		});
+	}
+
+	/** Handles messages between units: a change of a parameter, or the announcement of a shutdown. */
+	#receiveUnasked(messages: readonly Buffer[]): void {
+		for (const message of messages) {
+			if (message[0] === BackendMessageType.ErrorResponse) {
+				this.#fail('the server ended the session');
+			} else if (message[0] !== BackendMessageType.NoticeResponse) {
+				this.#changedSession = true;
+			}
+		}
+	}
+
+	#fail(failure: string): void {
+		if (!this.#isOpen) {
+			return;
+		}
+
+		this.#isOpen = false;
+		if (!this.#socket.writableEnded) {
+			this.#socket.destroy();
+		}
+
+		const active = this.#active;
+		if (active?.collector.isComplete) {
+			// The response is complete and its last part is on its way to the sink, which ends the run.
+			return;
+		}
+
+		this.#active = undefined;
+		active?.resolve({
+			verdict: Verdict.MayHaveRun,
+			transactionStatus: TransactionStatus.Idle,
+			held: Buffer.alloc(0),
+			writtenBytes: active.writtenBytes,
+			committed: active.collector.committed,
+			failure,
+			...(active.collector.sqlState !== undefined && {sqlState: active.collector.sqlState}),
+		});
+	}
+}
+
+/**
+ * Creates a socket whose connections leave from the given address; `pg` calls `connect(port, host)`.
+ *
+ * @param localAddress - Source address.
+ */
+function createSocket(localAddress: string): Socket {
+	const socket = new Socket();
+	const connect = socket.connect.bind(socket);
+	socket.connect = ((port: number, host: string) => connect({port, host, localAddress})) as typeof socket.connect;
+	return socket;
+}
--- /dev/null
+++ b/packages/daemon/src/connection/upstream/upstream-pool.ts
@@ -0,0 +1,243 @@
+import {type TimerService} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {
+	ConnectionError, type ConnectionPool, type StatementConnection,
+} from '../../request/scheduling/statement-connection.js';
+import {type UpstreamConnection, type UpstreamConnectionError} from './upstream-connection.js';
+
+/** Connections of each instance that the pools leave to control connections: 3 members of the group, two owners each. */
+const reservedConnections = 6;
+
+/** Two hosts may take themselves for the owner of an instance while they disagree about the live hosts. */
+const maximumOwners = 2;
+
+/** Log-ins in progress at the same time. Bounds the storm of log-ins after a failover. */
+const maximumParallelOpens = 4;
+
+const minimumBackOffMilliseconds = 50;
+const maximumBackOffMilliseconds = 2000;
+
+/** Options of an upstream pool. */
+export type UpstreamPoolOptions = {
+	readonly timerService: TimerService;
+	readonly slots: number;
+	readonly connectionLimit: number;
+	/** Opens one connection. */
+	readonly open: () => Promise<Result<UpstreamConnection, UpstreamConnectionError>>;
+	/** Called for each failed attempt to open a connection. */
+	readonly onOpenFailed?: (error: UpstreamConnectionError) => void;
+};
+
+type Waiter = {
+	readonly resolve: (result: Result<StatementConnection, ConnectionError>) => void;
+	readonly timeout: Disposable;
+};
+
+/**
+ * Returns the greatest number of connections that one owner may hold to an instance.
+ *
+ * @param connectionLimit - Limit of the instance.
+ */
+export function getPoolCapacity(connectionLimit: number): number {
+	return Math.max(1, Math.floor((connectionLimit - reservedConnections) / maximumOwners));
+}
+
+/** Bounded pool of clean connections to one instance. */
+export class UpstreamPool implements ConnectionPool {
+	readonly #options: UpstreamPoolOptions;
+	readonly #idle: UpstreamConnection[] = [];
+	/** All connections whose socket is not closed yet, idle or not. */
+	readonly #connections = new Set<UpstreamConnection>();
+	readonly #waiters = new Set<Waiter>();
+	#capacity: number;
+	#warmMinimum: number;
+	#openingCount = 0;
+	#failureCount = 0;
+	#backOff: Disposable | undefined;
+	#isClosed = false;
+
+	constructor(options: UpstreamPoolOptions) {
+		this.#options = options;
+		this.#capacity = getPoolCapacity(options.connectionLimit);
+		this.#warmMinimum = options.slots + 1;
+		this.#openMissing();
+	}
+
+	/** @inheritdoc */
+	get capacity(): number {
+		return this.#capacity;
+	}
+
+	/** Connections that exist or are being opened. */
+	get connectionCount(): number {
+		return this.#connections.size + this.#openingCount;
+	}
+
+	/** @inheritdoc */
+	resize(slots: number, connectionLimit: number): void {
+		this.#capacity = getPoolCapacity(connectionLimit);
+		this.#warmMinimum = slots + 1;
+		while (this.connectionCount > this.#capacity && this.#idle.length > 0) {
+			this.#idle.pop()!.close();
+		}
+
+		this.#openMissing();
+	}
+
+	/** @inheritdoc */
+	async acquire(timeoutMilliseconds: number): Promise<Result<StatementConnection, ConnectionError>> {
+		if (this.#isClosed) {
+			return err(ConnectionError.Closed);
+		}
+
+		const idle = this.#takeIdle();
+		if (idle) {
+			return ok(idle);
+		}
+
+		if (this.#backOff && this.#connections.size === 0) {
+			return err(ConnectionError.Unavailable);
+		}
+
+		return new Promise(resolve => {
+			const waiter: Waiter = {
+				resolve,
+				timeout: this.#options.timerService.schedule(timeoutMilliseconds, () => {
+					this.#waiters.delete(waiter);
+					resolve(err(ConnectionError.TimedOut));
+				}),
+			};
+			this.#waiters.add(waiter);
+			this.#openMissing();
+		});
+	}
+
+	/** @inheritdoc */
+	release(connection: StatementConnection): void {
+		void this.#takeBack(connection as UpstreamConnection);
+	}
+
+	/** Closes all connections, those in use included. */
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isClosed = true;
+		this.#backOff?.[Symbol.dispose]();
+		this.#failWaiters(ConnectionError.Closed);
+		this.#idle.length = 0;
+		const connections = [...this.#connections];
+		for (const connection of connections) {
+			connection.close();
+		}
+
+		await Promise.all(connections.map(connection => connection.closed));
+	}
+
+	#takeIdle(): UpstreamConnection | undefined {
+		for (;;) {
+			// The connection used last is taken first: its server process is the warmest.
+			const connection = this.#idle.pop();
+			if (!connection || connection.isClean) {
+				return connection;
+			}
+
+			connection.close();
+		}
+	}
+
+	async #takeBack(connection: UpstreamConnection): Promise<void> {
+		await connection.cancelFinished;
+		if (!connection.isClean || this.#isClosed || this.connectionCount > this.#capacity) {
+			connection.close();
+			return;
+		}
+
+		this.#offer(connection);
+	}
+
+	#offer(connection: UpstreamConnection): void {
+		const [waiter] = this.#waiters;
+		if (!waiter) {
+			this.#idle.push(connection);
+			return;
+		}
+
+		this.#waiters.delete(waiter);
+		waiter.timeout[Symbol.dispose]();
+		waiter.resolve(ok(connection));
+	}
+
+	#openMissing(): void {
+		if (this.#isClosed || this.#backOff) {
+			return;
+		}
+
+		const wanted = Math.min(
+			this.#capacity,
+			Math.max(this.#warmMinimum, this.#connections.size - this.#idle.length + this.#waiters.size),
+		);
+		const missing = wanted - this.connectionCount;
+		for (let count = 0; count < missing && this.#openingCount < maximumParallelOpens; count++) {
+			void this.#openOne();
+		}
+	}
+
+	async #openOne(): Promise<void> {
+		this.#openingCount++;
+		const result = await this.#options.open();
+		this.#openingCount--;
+		if (result.isErr()) {
+			this.#options.onOpenFailed?.(result.error);
+			this.#startBackOff();
+			return;
+		}
+
+		const connection = result.value;
+		if (this.#isClosed) {
+			connection.close();
+			return;
+		}
+
+		this.#failureCount = 0;
+		this.#connections.add(connection);
+		void this.#watch(connection);
+		this.#offer(connection);
+		this.#openMissing();
+	}
+
+	async #watch(connection: UpstreamConnection): Promise<void> {
+		await connection.closed;
+		this.#connections.delete(connection);
+		const index = this.#idle.indexOf(connection);
+		if (index !== -1) {
+			this.#idle.splice(index, 1);
+		}
+
+		this.#openMissing();
+	}
+
+	#startBackOff(): void {
+		if (this.#connections.size === 0) {
+			// The instance does not accept connections; another instance may serve the waiting requests.
+			this.#failWaiters(ConnectionError.Unavailable);
+		}
+
+		if (this.#backOff !== undefined || this.#isClosed) {
+			return;
+		}
+
+		const delay = Math.min(maximumBackOffMilliseconds, minimumBackOffMilliseconds * (2 ** this.#failureCount));
+		this.#failureCount++;
+		this.#backOff = this.#options.timerService.schedule(delay, () => {
+			this.#backOff = undefined;
+			this.#openMissing();
+		});
+	}
+
+	#failWaiters(error: ConnectionError): void {
+		for (const waiter of this.#waiters) {
+			waiter.timeout[Symbol.dispose]();
+			waiter.resolve(err(error));
+		}
+
+		this.#waiters.clear();
+	}
+}
--- a/packages/daemon/src/process/index.ts
+++ b/packages/daemon/src/process/index.ts
@@ -1,2 +1,5 @@
 export * from './host-directory.js';
 export type * from './ownership-table.js';
+export * from './instance-executors.js';
+export * from './instance-scheduler.js';
+export type * from './instance-scheduler-options.js';
--- /dev/null
+++ b/packages/daemon/src/process/instance-executors.ts
@@ -0,0 +1,175 @@
+import {
+	RefusalReason, type Logger, type Refusal, type ResponseSink, type TimerService, type UpstreamRequest, type UpstreamResult,
+} from '@tarragonstack/core';
+import {type GroupView} from '../request/group-view.js';
+import {type InstanceExecutor} from '../request/instance-executor.js';
+import {type SchedulingPolicy} from '../request/scheduling/scheduling-policy.js';
+import {type ConnectionPool} from '../request/scheduling/statement-connection.js';
+import {type TermConfirmation} from '../request/term-confirmation.js';
+import {type ConfigurationStore, type InstanceInGroup} from '../version/configuration-store.js';
+import {getNotRun} from './instance-scheduler-results.js';
+import {InstanceScheduler} from './instance-scheduler.js';
+import {type OwnershipTable} from './ownership-table.js';
+
+/** Time that running and queued work gets when the ownership of an instance ends, in milliseconds. */
+const ownershipGraceMilliseconds = 2000;
+
+/** Time that open transactions get when the ownership ends or the host stops, in milliseconds. */
+const transactionGraceMilliseconds = 10_000;
+
+/** Options of the instance executors. */
+export type InstanceExecutorsOptions = {
+	readonly ownershipTable: Pick<OwnershipTable, 'getOwnedInstances' | 'subscribe'>;
+	readonly configurationStore: Pick<ConfigurationStore, 'getCurrent' | 'subscribe'>;
+	readonly groupView: GroupView;
+	readonly termConfirmation: TermConfirmation;
+	readonly timerService: TimerService;
+	readonly policy: SchedulingPolicy;
+	/** Creates the connection pool of an instance. */
+	readonly createPool: (definition: InstanceInGroup) => ConnectionPool;
+	readonly logger?: Logger;
+	readonly extraStatements?: number;
+};
+
+/** Runs requests on the owned instances, with one scheduler for each. */
+export class InstanceExecutors implements InstanceExecutor, AsyncDisposable {
+	readonly #options: InstanceExecutorsOptions;
+	readonly #schedulers = new Map<string, InstanceScheduler>();
+	/** Schedulers of instances that are no longer owned, until their work has ended. */
+	readonly #retired = new Set<InstanceScheduler>();
+	readonly #retirements = new Set<Promise<void>>();
+	readonly #subscriptions: readonly Disposable[];
+	#isStopping = false;
+
+	constructor(options: InstanceExecutorsOptions) {
+		this.#options = options;
+		const update = () => {
+			this.#update();
+		};
+
+		this.#subscriptions = [options.ownershipTable.subscribe(update), options.configurationStore.subscribe(update)];
+		this.#update();
+	}
+
+	/** @inheritdoc */
+	async submit(request: UpstreamRequest, sink: ResponseSink, signal: AbortSignal): Promise<UpstreamResult> {
+		const {transactionIdentifier} = request;
+		const holder = transactionIdentifier !== undefined && !request.beginsTransaction
+			? this.#all().find(scheduler => scheduler.holdsTransaction(transactionIdentifier))
+			: undefined;
+		const scheduler = holder ?? this.#schedulers.get(request.upstream);
+		if (!scheduler) {
+			return getNotRun({reason: RefusalReason.NotOwner, message: 'the host does not own the instance'});
+		}
+
+		return scheduler.submit(request, sink, signal);
+	}
+
+	/** @inheritdoc */
+	cancel(requestIdentifier: string): void {
+		for (const scheduler of this.#all()) {
+			scheduler.cancel(requestIdentifier);
+		}
+	}
+
+	/** @inheritdoc */
+	abandonTransaction(transactionIdentifier: string): void {
+		for (const scheduler of this.#all()) {
+			scheduler.abandonTransaction(transactionIdentifier);
+		}
+	}
+
+	/** Refuses new work, and waits until running and queued work and open transactions have ended or had their time. */
+	async drain(): Promise<void> {
+		this.#isStopping = true;
+		const refusal: Refusal = {reason: RefusalReason.Stopping, message: 'the host is stopping'};
+		await Promise.all([
+			...this.#retirements,
+			...[...this.#schedulers.values()].map(async scheduler => {
+				scheduler.setRefusal(refusal);
+				await scheduler.waitUntilIdle(transactionGraceMilliseconds);
+			}),
+		]);
+	}
+
+	/** Closes all schedulers. */
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isStopping = true;
+		for (const subscription of this.#subscriptions) {
+			subscription[Symbol.dispose]();
+		}
+
+		const schedulers = this.#all();
+		this.#schedulers.clear();
+		await Promise.all(schedulers.map(scheduler => scheduler[Symbol.asyncDispose]()));
+	}
+
+	#all(): InstanceScheduler[] {
+		return [...this.#schedulers.values(), ...this.#retired];
+	}
+
+	#update(): void {
+		const snapshot = this.#options.configurationStore.getCurrent();
+		if (this.#isStopping || !snapshot) {
+			return;
+		}
+
+		const owned = new Set(this.#options.ownershipTable.getOwnedInstances());
+		for (const [instance, scheduler] of this.#schedulers) {
+			if (!owned.has(instance) || !snapshot.getInstance(instance)) {
+				this.#schedulers.delete(instance);
+				this.#retire(scheduler);
+			}
+		}
+
+		for (const instance of owned) {
+			const definition = snapshot.getInstance(instance);
+			if (definition) {
+				this.#updateInstance(definition);
+			}
+		}
+	}
+
+	#updateInstance(definition: InstanceInGroup): void {
+		const {instance, group} = definition;
+		let scheduler = this.#schedulers.get(instance.name);
+		if (!scheduler) {
+			const {policy, timerService, groupView, termConfirmation, logger, extraStatements} = this.#options;
+			scheduler = new InstanceScheduler({
+				instance: instance.name,
+				group: group.name,
+				slots: instance.slots,
+				connectionLimit: instance.connectionLimit,
+				policy,
+				timerService,
+				groupView,
+				termConfirmation,
+				pool: this.#options.createPool(definition),
+				...(logger && {logger}),
+				...(extraStatements !== undefined && {extraStatements}),
+			});
+			this.#schedulers.set(instance.name, scheduler);
+		}
+
+		// Work for a leaving instance is permitted only while its group has no other.
+		const hasOther = group.instances.some(other => !other.leaving);
+		scheduler.setRefusal(instance.leaving && hasOther
+			? {reason: RefusalReason.NoUpstream, message: 'the instance is leaving'}
+			: undefined);
+	}
+
+	#retire(scheduler: InstanceScheduler): void {
+		scheduler.setRefusal({reason: RefusalReason.NotOwner, message: 'the host no longer owns the instance'});
+		this.#retired.add(scheduler);
+		const retirement = (async () => {
+			const grace = scheduler.transactionCount > 0 ? transactionGraceMilliseconds : ownershipGraceMilliseconds;
+			await scheduler.waitUntilIdle(grace);
+			await scheduler[Symbol.asyncDispose]();
+			this.#retired.delete(scheduler);
+		})();
+		this.#retirements.add(retirement);
+		void retirement.finally(() => {
+			this.#retirements.delete(retirement);
+		});
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/process/instance-scheduler-results.ts
@@ -0,0 +1,54 @@
+import {
+	RefusalReason, TransactionStatus, Verdict, type LogPosition, type Refusal, type UpstreamResult,
+} from '@tarragonstack/core';
+import {ConnectionError, type StatementOutcome} from '../request/scheduling/statement-connection.js';
+
+/**
+ * Result of a request that did not run.
+ *
+ * @param refusal - Reason and message.
+ */
+export function getNotRun(refusal: Refusal): UpstreamResult {
+	return {verdict: Verdict.NotRun, transactionStatus: TransactionStatus.Idle, refusal};
+}
+
+/**
+ * Result of a request whose outcome is unknown.
+ *
+ * @param message - What happened.
+ * @param transactionStatus - Status of the connection.
+ */
+export function getOutcomeUnknown(message: string, transactionStatus = TransactionStatus.Idle): UpstreamResult {
+	return {
+		verdict: Verdict.MayHaveRun,
+		transactionStatus,
+		refusal: {reason: RefusalReason.OutcomeUnknown, message},
+	};
+}
+
+/**
+ * Result of a request that an upstream answered.
+ *
+ * @param outcome - Outcome of the statement unit.
+ * @param position - Position that contains its effects.
+ */
+export function getRan(outcome: StatementOutcome, position?: LogPosition): UpstreamResult {
+	return {
+		verdict: Verdict.Ran,
+		transactionStatus: outcome.transactionStatus,
+		...(position && {position}),
+	};
+}
+
+/** Refusal for each reason why no connection was available. */
+export const connectionRefusals: Readonly<Record<ConnectionError, Refusal>> = {
+	[ConnectionError.Unavailable]: {
+		reason: RefusalReason.NoUpstream, message: 'the instance does not accept connections',
+	},
+	[ConnectionError.TimedOut]: {
+		reason: RefusalReason.Overloaded, message: 'no connection became free in time', retryAfterMilliseconds: 100,
+	},
+	[ConnectionError.Closed]: {
+		reason: RefusalReason.Stopping, message: 'the host no longer serves the instance',
+	},
+};
--- /dev/null
+++ b/packages/daemon/src/process/instance-scheduler-transactions.ts
@@ -0,0 +1,114 @@
+import {TransactionStatus, type TimerService} from '@tarragonstack/core';
+import {serializeQueries} from '../request/scheduling/idempotency-statements.js';
+import {type Permits} from '../request/scheduling/permits.js';
+import {HoldMode, type ConnectionPool, type StatementConnection} from '../request/scheduling/statement-connection.js';
+
+/** Time for the roll-back of an abandoned transaction, after which its connection is closed, in milliseconds. */
+const rollbackTimeoutMilliseconds = 1000;
+
+/** Open explicit transaction with the connection that it holds. */
+export type HeldTransaction = {
+	readonly identifier: string;
+	readonly connection: StatementConnection;
+	/** Settles when the unit in progress has ended. The units of a transaction run one after the other. */
+	tail: Promise<void>;
+	isEnded: boolean;
+};
+
+/** Open transactions of one instance. Each holds a connection and a permit. */
+export class TransactionTable {
+	readonly #transactions = new Map<string, HeldTransaction>();
+	readonly #pool: ConnectionPool;
+	readonly #permits: Permits;
+	readonly #timerService: TimerService;
+
+	constructor(pool: ConnectionPool, permits: Permits, timerService: TimerService) {
+		this.#pool = pool;
+		this.#permits = permits;
+		this.#timerService = timerService;
+	}
+
+	get size(): number {
+		return this.#transactions.size;
+	}
+
+	/** Identifiers of the open transactions. */
+	get identifiers(): readonly string[] {
+		return [...this.#transactions.keys()];
+	}
+
+	/**
+	 * Registers a transaction that has begun. It takes over the connection and the permit.
+	 *
+	 * @param identifier - Identifier of the transaction.
+	 * @param connection - Connection on which it is open.
+	 */
+	add(identifier: string, connection: StatementConnection): HeldTransaction {
+		const transaction: HeldTransaction = {
+			identifier, connection, tail: Promise.resolve(), isEnded: false,
+		};
+		this.#transactions.set(identifier, transaction);
+		return transaction;
+	}
+
+	/**
+	 * Returns an open transaction.
+	 *
+	 * @param identifier - Identifier of the transaction.
+	 */
+	get(identifier: string): HeldTransaction | undefined {
+		return this.#transactions.get(identifier);
+	}
+
+	/**
+	 * Ends a transaction and gives its connection back.
+	 *
+	 * @param transaction - Transaction whose last unit ended with the status "idle", or whose connection is lost.
+	 */
+	end(transaction: HeldTransaction): void {
+		if (transaction.isEnded) {
+			return;
+		}
+
+		transaction.isEnded = true;
+		this.#transactions.delete(transaction.identifier);
+		this.#permits.release();
+		this.#pool.release(transaction.connection);
+	}
+
+	/**
+	 * Cancels the unit in progress, rolls back and gives the connection back.
+	 *
+	 * @param transaction - Transaction to abandon.
+	 */
+	async abandon(transaction: HeldTransaction): Promise<void> {
+		if (transaction.isEnded || this.#transactions.get(transaction.identifier) !== transaction) {
+			return;
+		}
+
+		// Without the entry no further unit can start.
+		this.#transactions.delete(transaction.identifier);
+		void transaction.connection.cancel();
+		const timer = this.#timerService.schedule(rollbackTimeoutMilliseconds, () => {
+			transaction.connection.close();
+		});
+		await transaction.tail;
+		await rollBack(transaction.connection);
+		timer[Symbol.dispose]();
+		this.end(transaction);
+	}
+}
+
+/**
+ * Rolls back the transaction of a connection; closes the connection if that fails.
+ *
+ * @param connection - Connection on which no unit is in progress.
+ */
+export async function rollBack(connection: StatementConnection): Promise<void> {
+	const outcome = await connection.run(serializeQueries('ROLLBACK'), {
+		sink: {async write() {}}, hiddenParseCompletes: [], holdMode: HoldMode.Completion,
+	});
+	if (outcome.transactionStatus !== TransactionStatus.Idle) {
+		connection.close();
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/process/instance-scheduler-unit-runner.ts
@@ -0,0 +1,239 @@
+import {
+	AcknowledgementMode, RefusalReason, RequestKind, Verdict, type LogPosition, type UpstreamResult,
+} from '@tarragonstack/core';
+import {type Result} from 'neverthrow';
+import {BackendMessageReader, BackendMessageType} from '../connection/upstream/backend-message-reader.js';
+import {
+	getInsertStatement, getSelectStatement, getStoredKey, getUpdateStatement, maximumStoredResponseBytes,
+	readOnlySqlState, readStoredResponse, serializeQueries, uniqueViolationSqlState,
+} from '../request/scheduling/idempotency-statements.js';
+import {
+	HoldMode, type StatementConnection, type StatementOutcome,
+} from '../request/scheduling/statement-connection.js';
+import {type StatementGuard} from '../request/scheduling/statement-guard.js';
+import {type ConfirmationError} from '../request/term-confirmation.js';
+import {type InstanceSchedulerOptions, type ScheduledRequest} from './instance-scheduler-options.js';
+import {getNotRun, getOutcomeUnknown, getRan} from './instance-scheduler-results.js';
+
+/**
+ * Least time for a confirmation, in milliseconds. A write that returned just before its time limit is still worth a round
+ * trip between zones, since its outcome would otherwise be unknown.
+ */
+const minimumConfirmationMilliseconds = 20;
+
+const discardingSink = {async write() {}};
+
+/** Runs statement units on a connection, and confirms the term before their completion is passed on. */
+export class UnitRunner {
+	readonly #options: InstanceSchedulerOptions;
+	readonly #guard: StatementGuard;
+
+	constructor(options: InstanceSchedulerOptions, guard: StatementGuard) {
+		this.#options = options;
+		this.#guard = guard;
+	}
+
+	/** Term of the primary if the instance is the known primary of its group. */
+	getPrimaryTerm(): number | undefined {
+		const primary = this.#options.groupView.getPrimary(this.#options.group);
+		return primary?.instance === this.#options.instance ? primary.term : undefined;
+	}
+
+	/**
+	 * Runs the unit of a request.
+	 *
+	 * @param job - Request.
+	 * @param connection - Connection to use.
+	 * @param holdMode - What to withhold.
+	 */
+	async run(job: ScheduledRequest, connection: StatementConnection, holdMode: HoldMode): Promise<StatementOutcome> {
+		const {request, sink, signal, givenUpAt} = job;
+		return this.#guard.run(
+			connection,
+			request.messages,
+			{sink, hiddenParseCompletes: request.hiddenParseCompletes, holdMode},
+			{
+				requestIdentifier: request.requestIdentifier,
+				givenUpAt,
+				// A write that nobody waits for runs to its end, so that its outcome is not left to chance.
+				...(request.kind !== RequestKind.Write && {signal}),
+			},
+		);
+	}
+
+	/**
+	 * Turns the outcome of a unit into the result, and passes on what was withheld.
+	 *
+	 * @param job - Request.
+	 * @param outcome - Outcome of its unit.
+	 * @param expectedTerm - Term of the primary when the unit was sent; `undefined` for a read.
+	 */
+	async finish(job: ScheduledRequest, outcome: StatementOutcome, expectedTerm: number | undefined): Promise<UpstreamResult> {
+		const {request, sink} = job;
+		if (outcome.verdict !== Verdict.Ran) {
+			return this.#getLost(job, outcome);
+		}
+
+		const isAutocommitWrite = request.kind === RequestKind.Write;
+		if (outcome.sqlState === readOnlySqlState && isAutocommitWrite && outcome.writtenBytes === 0 && !outcome.committed) {
+			return getNotRun({reason: RefusalReason.NotPrimary, message: 'the instance is read-only'});
+		}
+
+		const hasEffect = outcome.committed || (isAutocommitWrite && outcome.sqlState === undefined);
+		if (!hasEffect) {
+			await pass(sink, outcome.held);
+			return getRan(outcome);
+		}
+
+		const position = await this.#confirm(job, expectedTerm);
+		if (position.isErr()) {
+			return getOutcomeUnknown(`the term was not confirmed: ${position.error}`, outcome.transactionStatus);
+		}
+
+		await pass(sink, outcome.held);
+		return getRan(outcome, position.value);
+	}
+
+	/**
+	 * Runs the unit of a request in one transaction with its idempotency key.
+	 *
+	 * @param job - Request with a key.
+	 * @param connection - Clean connection.
+	 * @param expectedTerm - Term of the primary.
+	 * @param onRan - Called when the instance has nothing more to do for the request.
+	 */
+	async runWithKey(job: ScheduledRequest, connection: StatementConnection, expectedTerm: number, onRan: () => void): Promise<UpstreamResult> {
+		const key = getStoredKey(job.request);
+		const reserved = await this.#runQueries(job, connection, 'BEGIN', getInsertStatement(key));
+		if (reserved.verdict !== Verdict.Ran || reserved.sqlState !== undefined) {
+			const result = await this.#handleReservationFailure(job, connection, reserved);
+			onRan();
+			return result;
+		}
+
+		const unit = await this.run(job, connection, HoldMode.Completion);
+		if (unit.verdict === Verdict.Ran && unit.sqlState !== undefined) {
+			await this.#runQueries(job, connection, 'ROLLBACK');
+			onRan();
+			return this.finish(job, {...unit, transactionStatus: reserved.transactionStatus}, expectedTerm);
+		}
+
+		if (unit.verdict !== Verdict.Ran || unit.committed) {
+			onRan();
+			return this.finish(job, unit, expectedTerm);
+		}
+
+		const isStorable = unit.writtenBytes === 0 && unit.held.length <= maximumStoredResponseBytes;
+		const completion = isStorable ? [getUpdateStatement(key, unit.held), 'COMMIT'] : ['COMMIT'];
+		const committed = await this.#runQueries(job, connection, ...completion);
+		onRan();
+		if (committed.verdict === Verdict.Ran && committed.committed) {
+			return this.finish(job, {...committed, held: unit.held, writtenBytes: unit.writtenBytes}, expectedTerm);
+		}
+
+		// The caller receives the error only, not the completions of statements that it did not send.
+		return this.finish(job, {...committed, held: getErrorResponse(committed.held)}, expectedTerm);
+	}
+
+	/**
+	 * Reserves the key of an explicit transaction right after its BEGIN.
+	 *
+	 * @param job - Request that begins the transaction.
+	 * @param connection - Connection of the transaction.
+	 * @returns The outcome of the insertion.
+	 */
+	async reserveKey(job: ScheduledRequest, connection: StatementConnection): Promise<StatementOutcome> {
+		return this.#runQueries(job, connection, getInsertStatement(getStoredKey(job.request)));
+	}
+
+	async #handleReservationFailure(job: ScheduledRequest, connection: StatementConnection, reserved: StatementOutcome): Promise<UpstreamResult> {
+		if (reserved.verdict !== Verdict.Ran) {
+			// No COMMIT was sent, so that the instance rolls back.
+			return getNotRun({reason: RefusalReason.NoUpstream, message: reserved.failure ?? 'the connection was lost'});
+		}
+
+		if (reserved.sqlState !== uniqueViolationSqlState) {
+			await this.#runQueries(job, connection, 'ROLLBACK');
+			return reserved.sqlState === readOnlySqlState
+				? getNotRun({reason: RefusalReason.NotPrimary, message: 'the instance is read-only'})
+				: getNotRun({
+					reason: RefusalReason.NoUpstream, message: `the idempotency key was not stored: SQLSTATE ${reserved.sqlState ?? ''}`,
+				});
+		}
+
+		return this.#replay(job, connection);
+	}
+
+	/** Answers a resend with the stored first response. */
+	async #replay(job: ScheduledRequest, connection: StatementConnection): Promise<UpstreamResult> {
+		const answer = await this.#runQueries(job, connection, 'ROLLBACK', getSelectStatement(getStoredKey(job.request)));
+		if (answer.verdict !== Verdict.Ran || answer.sqlState !== undefined) {
+			return getOutcomeUnknown('the stored response could not be read');
+		}
+
+		const stored = await readStoredResponse(answer.held);
+		if (stored === undefined || stored.length === 0) {
+			return getNotRun({
+				reason: RefusalReason.DuplicateKey, message: 'the idempotency key was already used and its response is not stored',
+			});
+		}
+
+		// The stored response counts only if this instance has not been replaced, like the response to a write.
+		const position = await this.#confirm(job, this.getPrimaryTerm());
+		if (position.isErr()) {
+			return getOutcomeUnknown(`the term was not confirmed: ${position.error}`);
+		}
+
+		await pass(job.sink, stored);
+		return getRan(answer, position.value);
+	}
+
+	async #runQueries(job: ScheduledRequest, connection: StatementConnection, ...statements: readonly string[]): Promise<StatementOutcome> {
+		return this.#guard.run(
+			connection,
+			serializeQueries(...statements),
+			{
+				sink: discardingSink, hiddenParseCompletes: [], holdMode: HoldMode.Completion, readyCount: statements.length,
+			},
+			{requestIdentifier: job.request.requestIdentifier, givenUpAt: job.givenUpAt},
+		);
+	}
+
+	async #confirm(job: ScheduledRequest, expectedTerm: number | undefined): Promise<Result<LogPosition, ConfirmationError>> {
+		const {group, instance, termConfirmation, timerService} = this.#options;
+		return termConfirmation.confirm(group, instance, {
+			...(expectedTerm !== undefined && {expectedTerm}),
+			replicated: job.request.acknowledgement === AcknowledgementMode.Replicated,
+			timeoutMilliseconds: Math.max(minimumConfirmationMilliseconds, job.givenUpAt - timerService.now()),
+		});
+	}
+
+	#getLost(job: ScheduledRequest, outcome: StatementOutcome): UpstreamResult {
+		const message = outcome.failure ?? 'the connection was lost';
+		const isHarmless = outcome.verdict === Verdict.NotRun
+			|| (job.request.kind === RequestKind.Read && outcome.writtenBytes === 0);
+		if (!isHarmless) {
+			return getOutcomeUnknown(message);
+		}
+
+		const isTooLate = this.#options.timerService.now() >= job.givenUpAt;
+		return getNotRun({reason: isTooLate ? RefusalReason.DeadlineExceeded : RefusalReason.NoUpstream, message});
+	}
+}
+
+function getErrorResponse(messages: Buffer): Buffer {
+	const split = new BackendMessageReader().push(messages).unwrapOr([]);
+	return split.find(message => message[0] === BackendMessageType.ErrorResponse) ?? Buffer.alloc(0);
+}
+
+async function pass(sink: ScheduledRequest['sink'], messages: Buffer): Promise<void> {
+	if (messages.length === 0) {
+		return;
+	}
+
+	try {
+		await sink.write(messages);
+	} catch {
+		// The receiver is gone. The result still tells what happened.
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/process/instance-scheduler.ts
@@ -0,0 +1,462 @@
+import {
+	RefusalReason, RequestKind, TransactionStatus, Verdict,
+	type Refusal, type ResponseSink, type UpstreamLoad, type UpstreamRequest, type UpstreamResult,
+} from '@tarragonstack/core';
+import {type Result} from 'neverthrow';
+import {createDeferred, type Deferred} from '../request/scheduling/deferred.js';
+import {uniqueViolationSqlState, getStoredKey} from '../request/scheduling/idempotency-statements.js';
+import {Permits} from '../request/scheduling/permits.js';
+import {PositionWaiters} from '../request/scheduling/position-waiters.js';
+import {SlotQueue, type Slot} from '../request/scheduling/slot-queue.js';
+import {HoldMode, type StatementConnection, type StatementOutcome} from '../request/scheduling/statement-connection.js';
+import {StatementGuard} from '../request/scheduling/statement-guard.js';
+import {type InstanceSchedulerOptions, type ScheduledRequest} from './instance-scheduler-options.js';
+import {connectionRefusals, getNotRun, getOutcomeUnknown} from './instance-scheduler-results.js';
+import {rollBack, TransactionTable, type HeldTransaction} from './instance-scheduler-transactions.js';
+import {UnitRunner} from './instance-scheduler-unit-runner.js';
+
+/** Interval at which the limits follow the reported slots and the service times, in milliseconds. */
+const limitIntervalMilliseconds = 100;
+
+/** Greatest time that running work waits for a connection, in milliseconds; a log-in takes about 10 ms. */
+const connectionTimeoutMilliseconds = 500;
+
+/** Greatest time that a transaction waits until another one ends, in milliseconds. */
+const permitTimeoutMilliseconds = 2000;
+
+const defaultMaximumQueueEntries = 2000;
+const defaultMaximumQueueBytes = 33_554_432;
+
+/** Runs all requests for one instance: one queue, its slots, its connections and its open transactions. */
+export class InstanceScheduler implements AsyncDisposable {
+	readonly #options: InstanceSchedulerOptions;
+	readonly #queue: SlotQueue;
+	readonly #guard: StatementGuard;
+	readonly #runner: UnitRunner;
+	readonly #positions: PositionWaiters;
+	readonly #permits: Permits;
+	readonly #transactions: TransactionTable;
+	/** Requests that are not answered yet, with the means to take them out of the queue. */
+	readonly #requests = new Map<string, AbortController>();
+	/** Idempotency keys in use on this host, with the end of the request that uses them. */
+	readonly #keysInUse = new Map<string, Promise<void>>();
+	readonly #limitSubscription: Disposable;
+	#idle: Deferred | undefined;
+	#refusal: Refusal | undefined;
+
+	constructor(options: InstanceSchedulerOptions) {
+		const {timerService, pool, slots} = options;
+		this.#options = options;
+		this.#queue = new SlotQueue({
+			timerService,
+			policy: options.policy,
+			slots: slots + (options.extraStatements ?? 0),
+			maximumEntries: options.maximumQueueEntries ?? defaultMaximumQueueEntries,
+			maximumBytes: options.maximumQueueBytes ?? defaultMaximumQueueBytes,
+		});
+		this.#guard = new StatementGuard(timerService);
+		this.#runner = new UnitRunner(options, this.#guard);
+		this.#positions = new PositionWaiters(options);
+		this.#permits = new Permits(timerService, this.#getPermitLimit(slots));
+		this.#transactions = new TransactionTable(pool, this.#permits, timerService);
+		this.#limitSubscription = timerService.subscribe(limitIntervalMilliseconds, () => {
+			this.#adaptLimits();
+		});
+	}
+
+	/** Requests that are not answered yet. */
+	get requestCount(): number {
+		return this.#requests.size;
+	}
+
+	/** Open transactions. */
+	get transactionCount(): number {
+		return this.#transactions.size;
+	}
+
+	/**
+	 * Returns whether this scheduler holds a transaction.
+	 *
+	 * @param transactionIdentifier - Identifier of the transaction.
+	 */
+	holdsTransaction(transactionIdentifier: string): boolean {
+		return this.#transactions.get(transactionIdentifier) !== undefined;
+	}
+
+	/**
+	 * Refuses new work from now on, except for units of open transactions.
+	 *
+	 * @param refusal - Reason that callers receive, or `undefined` to accept work again.
+	 */
+	setRefusal(refusal: Refusal | undefined): void {
+		this.#refusal = refusal;
+	}
+
+	/** @inheritdoc InstanceExecutor.submit */
+	async submit(request: UpstreamRequest, sink: ResponseSink, signal: AbortSignal): Promise<UpstreamResult> {
+		const controller = new AbortController();
+		const onAbort = () => {
+			controller.abort();
+		};
+
+		signal.addEventListener('abort', onAbort, {once: true});
+		if (signal.aborted) {
+			controller.abort();
+		}
+
+		this.#requests.set(request.requestIdentifier, controller);
+		const now = this.#options.timerService.now();
+		const job: ScheduledRequest = {
+			request,
+			sink,
+			signal: controller.signal,
+			lateAt: now + request.targetMilliseconds,
+			givenUpAt: now + request.timeoutMilliseconds,
+		};
+		try {
+			return {...await this.#serve(job), load: this.getLoad()};
+		} catch (error) {
+			this.#options.logger?.error({request: request.requestIdentifier, error: String(error)}, 'a request failed unexpectedly');
+			return {...getOutcomeUnknown(String(error)), load: this.getLoad()};
+		} finally {
+			signal.removeEventListener('abort', onAbort);
+			this.#requests.delete(request.requestIdentifier);
+			this.#checkIdle();
+		}
+	}
+
+	/** @inheritdoc InstanceExecutor.cancel */
+	cancel(requestIdentifier: string): void {
+		// Aborting the signal takes a waiting request out of the queue.
+		this.#guard.cancel(requestIdentifier);
+		this.#requests.get(requestIdentifier)?.abort();
+	}
+
+	/** @inheritdoc InstanceExecutor.abandonTransaction */
+	abandonTransaction(transactionIdentifier: string): void {
+		const transaction = this.#transactions.get(transactionIdentifier);
+		if (transaction) {
+			void this.#abandon(transaction);
+		}
+	}
+
+	/** Returns the present load figures. */
+	getLoad(): UpstreamLoad {
+		const position = this.#options.groupView.getStatus(this.#options.instance)?.position;
+		return {...this.#queue.getLoad(), ...(position && {position})};
+	}
+
+	/**
+	 * Waits until no request is in progress and no transaction is open.
+	 *
+	 * @param timeoutMilliseconds - Greatest time to wait.
+	 */
+	async waitUntilIdle(timeoutMilliseconds: number): Promise<void> {
+		if (this.#requests.size === 0 && this.#transactions.size === 0) {
+			return;
+		}
+
+		this.#idle ??= createDeferred();
+		const controller = new AbortController();
+		await Promise.race([
+			this.#idle.promise,
+			this.#options.timerService.sleep(timeoutMilliseconds, controller.signal),
+		]);
+		controller.abort();
+	}
+
+	/** Refuses what waits, rolls back what is open and closes the connections. */
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#refusal ??= {reason: RefusalReason.Stopping, message: 'the host no longer serves the instance'};
+		this.#limitSubscription[Symbol.dispose]();
+		this.#queue.close();
+		for (const identifier of this.#transactions.identifiers) {
+			this.abandonTransaction(identifier);
+		}
+
+		await this.#options.pool[Symbol.asyncDispose]();
+	}
+
+	async #serve(job: ScheduledRequest): Promise<UpstreamResult> {
+		const {request} = job;
+		if (request.transactionIdentifier !== undefined && !request.beginsTransaction) {
+			return this.#serveInTransaction(job, request.transactionIdentifier);
+		}
+
+		const refusal = this.#refusal ?? await this.#prepare(job);
+		if (refusal) {
+			return getNotRun(refusal);
+		}
+
+		if (request.transactionIdentifier !== undefined) {
+			return this.#beginTransaction(job, request.transactionIdentifier);
+		}
+
+		return request.idempotencyKey !== undefined && request.kind === RequestKind.Write
+			? this.#serveWithKey(job)
+			: this.#serveUnit(job);
+	}
+
+	/** Checks what must hold before a unit may wait for a slot. */
+	async #prepare({request, lateAt, givenUpAt}: ScheduledRequest): Promise<Refusal | undefined> {
+		if (this.#requests.size > 2 * (this.#options.maximumQueueEntries ?? defaultMaximumQueueEntries)) {
+			return {reason: RefusalReason.Overloaded, message: 'too many requests are waiting'};
+		}
+
+		if (request.kind !== RequestKind.Read) {
+			return this.#checkPrimary();
+		}
+
+		if (!request.minimumPosition) {
+			return undefined;
+		}
+
+		// The request is useful elsewhere only if some of its time is left.
+		const service = this.#queue.estimates.get(request).mean;
+		const deadline = Math.min(givenUpAt, lateAt) - (2 * service);
+		return await this.#positions.waitFor(request.minimumPosition, deadline)
+			? undefined
+			: {reason: RefusalReason.ReplicaBehind, message: 'the instance has not reached the minimum position'};
+	}
+
+	#checkPrimary(): Refusal | undefined {
+		return this.#runner.getPrimaryTerm() === undefined
+			? {reason: RefusalReason.NotPrimary, message: 'the instance is not the known primary of the group'}
+			: undefined;
+	}
+
+	/** Runs a unit outside an explicit transaction. */
+	async #serveUnit(job: ScheduledRequest): Promise<UpstreamResult> {
+		return this.#withConnection(job, async (connection, finishSlot) => {
+			const isRead = job.request.kind === RequestKind.Read;
+			const term = isRead ? undefined : this.#runner.getPrimaryTerm();
+			if (!isRead && term === undefined) {
+				finishSlot(false);
+				return getNotRun(this.#checkPrimary()!);
+			}
+
+			const outcome = await this.#runner.run(job, connection, isRead ? HoldMode.Error : HoldMode.Completion);
+			finishSlot(outcome.verdict === Verdict.Ran);
+			return this.#runner.finish(job, this.#withoutTransaction(outcome), term);
+		});
+	}
+
+	async #serveWithKey(job: ScheduledRequest): Promise<UpstreamResult> {
+		const key = getStoredKey(job.request);
+		for (let user = this.#keysInUse.get(key); user; user = this.#keysInUse.get(key)) {
+			// The instance would make the second insertion wait for the first transaction, in a slot.
+			const controller = new AbortController();
+			await Promise.race([user, this.#sleepUntil(job.givenUpAt, controller.signal)]);
+			controller.abort();
+			if (this.#options.timerService.now() >= job.givenUpAt) {
+				return getNotRun({
+					reason: RefusalReason.DeadlineExceeded, message: 'the first request with the idempotency key is still running',
+				});
+			}
+		}
+
+		const end = createDeferred();
+		this.#keysInUse.set(key, end.promise);
+		try {
+			return await this.#withConnection(job, async (connection, finishSlot) => {
+				const term = this.#runner.getPrimaryTerm();
+				if (term === undefined) {
+					finishSlot(false);
+					return getNotRun(this.#checkPrimary()!);
+				}
+
+				return this.#runner.runWithKey(job, connection, term, () => {
+					finishSlot(true);
+				});
+			});
+		} finally {
+			this.#keysInUse.delete(key);
+			end.resolve();
+		}
+	}
+
+	/** Takes a slot and a connection for a unit, and gives both back as soon as the instance has answered. */
+	async #withConnection(
+		job: ScheduledRequest,
+		use: (connection: StatementConnection, finishSlot: (isMeasured: boolean) => void) => Promise<UpstreamResult>,
+	): Promise<UpstreamResult> {
+		const slot = await this.#acquireSlot(job, false);
+		if (slot.isErr()) {
+			return getNotRun(slot.error);
+		}
+
+		const connection = await this.#options.pool.acquire(this.#getConnectionTimeout(job));
+		if (connection.isErr()) {
+			slot.value.release(false);
+			return getNotRun(connectionRefusals[connection.error]);
+		}
+
+		let isFinished = false;
+		const finishSlot = (isMeasured: boolean) => {
+			if (!isFinished) {
+				isFinished = true;
+				slot.value.release(isMeasured);
+				this.#options.pool.release(connection.value);
+			}
+		};
+
+		try {
+			return await use(connection.value, finishSlot);
+		} finally {
+			finishSlot(false);
+		}
+	}
+
+	async #beginTransaction(job: ScheduledRequest, identifier: string): Promise<UpstreamResult> {
+		const timeout = Math.min(permitTimeoutMilliseconds, job.givenUpAt - this.#options.timerService.now());
+		if (!await this.#permits.acquire(timeout)) {
+			return getNotRun({
+				reason: RefusalReason.Overloaded, message: 'too many transactions are open', retryAfterMilliseconds: permitTimeoutMilliseconds,
+			});
+		}
+
+		const slot = await this.#acquireSlot(job, false);
+		if (slot.isErr()) {
+			this.#permits.release();
+			return getNotRun(slot.error);
+		}
+
+		const connection = await this.#options.pool.acquire(this.#getConnectionTimeout(job));
+		if (connection.isErr()) {
+			slot.value.release(false);
+			this.#permits.release();
+			return getNotRun(connectionRefusals[connection.error]);
+		}
+
+		const transaction = this.#transactions.add(identifier, connection.value);
+		return this.#runInTransaction(job, transaction, slot.value);
+	}
+
+	async #serveInTransaction(job: ScheduledRequest, identifier: string): Promise<UpstreamResult> {
+		const transaction = this.#transactions.get(identifier);
+		if (!transaction) {
+			return getNotRun({reason: RefusalReason.NoUpstream, message: 'the transaction has ended; it was rolled back'});
+		}
+
+		const previous = transaction.tail;
+		const end = createDeferred();
+		transaction.tail = end.promise;
+		try {
+			await previous;
+			const slot = await this.#acquireSlot(job, true);
+			if (slot.isErr()) {
+				// A unit of the caller is missing, so the transaction must not be committed.
+				end.resolve();
+				await this.#abandon(transaction);
+				return getNotRun(slot.error);
+			}
+
+			if (this.#transactions.get(identifier) !== transaction) {
+				slot.value.release(false);
+				return getNotRun({reason: RefusalReason.NoUpstream, message: 'the transaction has ended; it was rolled back'});
+			}
+
+			return await this.#runInTransaction(job, transaction, slot.value);
+		} finally {
+			end.resolve();
+		}
+	}
+
+	/** Runs a unit on the connection of its transaction. Ends the slot. */
+	async #runInTransaction(job: ScheduledRequest, transaction: HeldTransaction, slot: Slot): Promise<UpstreamResult> {
+		const term = this.#runner.getPrimaryTerm();
+		const needsKey = job.request.beginsTransaction && job.request.idempotencyKey !== undefined;
+		const outcome = await this.#runner.run(job, transaction.connection, needsKey ? HoldMode.Completion : HoldMode.Commit);
+		const keyRefusal = needsKey && outcome.transactionStatus === TransactionStatus.InTransaction
+			? await this.#reserveKey(job, transaction)
+			: undefined;
+		slot.release(outcome.verdict === Verdict.Ran);
+		if (keyRefusal) {
+			await this.#endByRollback(transaction);
+			return getNotRun(keyRefusal);
+		}
+
+		if (outcome.transactionStatus === TransactionStatus.Idle) {
+			this.#transactions.end(transaction);
+		} else if (job.signal.aborted) {
+			await this.#endByRollback(transaction);
+			return this.#runner.finish(job, {...outcome, transactionStatus: TransactionStatus.Idle}, term);
+		}
+
+		return this.#runner.finish(job, outcome, term);
+	}
+
+	async #reserveKey(job: ScheduledRequest, transaction: HeldTransaction): Promise<Refusal | undefined> {
+		const reserved = await this.#runner.reserveKey(job, transaction.connection);
+		if (reserved.verdict === Verdict.Ran && reserved.sqlState === undefined) {
+			return undefined;
+		}
+
+		return reserved.sqlState === uniqueViolationSqlState
+			? {reason: RefusalReason.DuplicateKey, message: 'the idempotency key was already used'}
+			: {reason: RefusalReason.NoUpstream, message: `the idempotency key was not stored: ${reserved.sqlState ?? reserved.failure ?? ''}`};
+	}
+
+	/** Rolls back from within a unit of the transaction. */
+	async #endByRollback(transaction: HeldTransaction): Promise<void> {
+		if (!transaction.isEnded) {
+			await rollBack(transaction.connection);
+			this.#transactions.end(transaction);
+		}
+	}
+
+	async #abandon(transaction: HeldTransaction): Promise<void> {
+		await this.#transactions.abandon(transaction);
+		this.#checkIdle();
+	}
+
+	/** Reports the status of a unit outside an explicit transaction: its connection is not kept. */
+	#withoutTransaction(outcome: StatementOutcome): StatementOutcome {
+		return {...outcome, transactionStatus: TransactionStatus.Idle};
+	}
+
+	async #acquireSlot(job: ScheduledRequest, isContinuation: boolean): Promise<Result<Slot, Refusal>> {
+		const {request, lateAt, givenUpAt, signal} = job;
+		return this.#queue.acquire({
+			customer: request.customer,
+			customerWeight: request.customerWeight,
+			rank: request.rank,
+			kind: request.kind,
+			floorShare: request.floorShare,
+			lateRefund: request.lateRefund,
+			refusedRefund: request.refusedRefund,
+			bytes: request.messages.length,
+			lateAt,
+			givenUpAt,
+			isContinuation,
+		}, signal);
+	}
+
+	#getConnectionTimeout(job: ScheduledRequest): number {
+		return Math.min(connectionTimeoutMilliseconds, job.givenUpAt - this.#options.timerService.now());
+	}
+
+	async #sleepUntil(time: number, signal: AbortSignal): Promise<void> {
+		await this.#options.timerService.sleep(time - this.#options.timerService.now(), signal);
+	}
+
+	#adaptLimits(): void {
+		const status = this.#options.groupView.getStatus(this.#options.instance);
+		const slots = status?.slots ?? this.#options.slots;
+		this.#options.pool.resize(slots, status?.connectionLimit ?? this.#options.connectionLimit);
+		this.#permits.setLimit(this.#getPermitLimit(slots));
+		this.#queue.setSlots(slots + (this.#options.extraStatements ?? 0));
+	}
+
+	/** Transactions leave at least one connection for each slot to other work. */
+	#getPermitLimit(slots: number): number {
+		return Math.max(1, this.#options.pool.capacity - slots - (this.#options.extraStatements ?? 0));
+	}
+
+	#checkIdle(): void {
+		if (this.#requests.size === 0 && this.#transactions.size === 0) {
+			this.#idle?.resolve();
+			this.#idle = undefined;
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/request/scheduling/first-in-first-out-strategy.ts
@@ -0,0 +1,30 @@
+import {type Rank} from '@tarragonstack/core';
+import {type QueueState, type ScheduledWork} from './scheduled-work.js';
+import {type SchedulingChoice, type SchedulingStrategy} from './scheduling-policy.js';
+
+/** Baseline that serves work in the order of arrival and refuses only what would not start before it is given up. */
+export class FirstInFirstOutStrategy implements SchedulingStrategy {
+	/** @inheritdoc */
+	admits(work: ScheduledWork, state: QueueState): boolean {
+		return state.now + this.getExpectedWait(work.rank, state) < work.givenUpAt;
+	}
+
+	/** @inheritdoc */
+	choose(state: QueueState): SchedulingChoice {
+		const [next] = state.waiting;
+		return {refused: [], ...(next && {next})};
+	}
+
+	/** @inheritdoc */
+	onServed(): void {}
+
+	/** @inheritdoc */
+	getExpectedWait(_rank: Rank, state: QueueState): number {
+		let work = state.residualMilliseconds;
+		for (const waiting of state.waiting) {
+			work += waiting.serviceMilliseconds;
+		}
+
+		return work / state.slots;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/request/scheduling/index.ts
@@ -0,0 +1,8 @@
+export type * from './scheduled-work.js';
+export * from './scheduling-policy.js';
+export * from './service-time-estimates.js';
+export * from './slot-queue.js';
+export * from './idempotency-statements.js';
+export * from './position-waiters.js';
+export * from './statement-connection.js';
+export * from './statement-guard.js';
--- /dev/null
+++ b/packages/daemon/src/request/scheduling/service-time-estimates.ts
@@ -0,0 +1,89 @@
+import {type Rank, type RequestKind} from '@tarragonstack/core';
+
+/** Weight of a new sample. About the last ten statements of a class count. */
+const sampleWeight = 0.1;
+
+/** Weight of a new sample in the baseline, against which a slow-down is noticed. */
+const baselineWeight = 0.005;
+
+/** Expected service time before any statement was measured, in milliseconds. */
+const initialServiceMilliseconds = 5;
+
+/** Bound of the memory; the least recently used class is dropped. */
+const maximumClasses = 2000;
+
+/** Estimate for one class of statements, in milliseconds. */
+export type ServiceTimeEstimate = {
+	readonly mean: number;
+	/** Mean absolute deviation from the mean. */
+	readonly deviation: number;
+	/** Mean over a much longer time. */
+	readonly baseline: number;
+};
+
+/** What distinguishes classes of statements with different service times. */
+export type ServiceTimeClass = {
+	readonly customer: string;
+	readonly rank: Rank;
+	readonly kind: RequestKind;
+};
+
+/** Exponentially weighted averages of the service times of each customer, rank and kind. */
+export class ServiceTimeEstimates {
+	readonly #estimates = new Map<string, ServiceTimeEstimate>();
+	#overall: ServiceTimeEstimate = {
+		mean: initialServiceMilliseconds, deviation: 0, baseline: initialServiceMilliseconds,
+	};
+
+	#hasSample = false;
+
+	/** Smoothed service time of all statements, in milliseconds. */
+	get overallMilliseconds(): number {
+		return this.#overall.mean;
+	}
+
+	/**
+	 * Returns the estimate of a class; that of all statements for a class without samples.
+	 *
+	 * @param serviceTimeClass - Class of the statement.
+	 */
+	get(serviceTimeClass: ServiceTimeClass): ServiceTimeEstimate {
+		return this.#estimates.get(getKey(serviceTimeClass)) ?? this.#overall;
+	}
+
+	/**
+	 * Adds a measured service time.
+	 *
+	 * @param serviceTimeClass - Class of the statement.
+	 * @param milliseconds - Measured service time.
+	 */
+	add(serviceTimeClass: ServiceTimeClass, milliseconds: number): void {
+		const key = getKey(serviceTimeClass);
+		const known = this.#estimates.get(key);
+		this.#estimates.delete(key);
+		this.#estimates.set(key, known ? update(known, milliseconds) : getFirst(milliseconds));
+		this.#overall = this.#hasSample ? update(this.#overall, milliseconds) : getFirst(milliseconds);
+		this.#hasSample = true;
+		if (this.#estimates.size > maximumClasses) {
+			const [oldest] = this.#estimates.keys();
+			this.#estimates.delete(oldest!);
+		}
+	}
+}
+
+function getKey({customer, rank, kind}: ServiceTimeClass): string {
+	return `${customer}/${rank}/${kind}`;
+}
+
+function getFirst(milliseconds: number): ServiceTimeEstimate {
+	return {mean: milliseconds, deviation: milliseconds / 4, baseline: milliseconds};
+}
+
+function update(estimate: ServiceTimeEstimate, milliseconds: number): ServiceTimeEstimate {
+	const difference = milliseconds - estimate.mean;
+	return {
+		mean: estimate.mean + (sampleWeight * difference),
+		deviation: estimate.deviation + (sampleWeight * (Math.abs(difference) - estimate.deviation)),
+		baseline: estimate.baseline + (baselineWeight * (milliseconds - estimate.baseline)),
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/request/scheduling/slot-queue.ts
@@ -0,0 +1,267 @@
+import {ranks, RefusalReason, type Rank, type Refusal, type TimerService, type UpstreamLoad} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {type QueueState, type ScheduledWork} from './scheduled-work.js';
+import {schedulingStrategies, type SchedulingPolicy, type SchedulingStrategy} from './scheduling-policy.js';
+import {ServiceTimeEstimates, type ServiceTimeClass} from './service-time-estimates.js';
+
+/** Shortest hint for another try. A shorter one would only add load. */
+const minimumRetryAfterMilliseconds = 10;
+
+/** Options of a slot queue. */
+export type SlotQueueOptions = {
+	readonly timerService: TimerService;
+	readonly policy: SchedulingPolicy;
+	/** Statements that the instance runs at the same time. */
+	readonly slots: number;
+	/** Greatest number of waiting entries. */
+	readonly maximumEntries: number;
+	/** Greatest sum of the sizes of the waiting entries. */
+	readonly maximumBytes: number;
+};
+
+/** Work to queue. */
+export type SlotRequest = ServiceTimeClass & {
+	readonly customerWeight: number;
+	readonly floorShare: number;
+	readonly lateRefund: number;
+	readonly refusedRefund: number;
+	readonly bytes: number;
+	readonly lateAt: number;
+	readonly givenUpAt: number;
+	/** Work of an open transaction, which holds a connection and locks. It is admitted unless the queue is full. */
+	readonly isContinuation: boolean;
+};
+
+/** Permission to run one statement unit. */
+export type Slot = {
+	/**
+	 * Ends the use of the slot.
+	 *
+	 * @param isMeasured - Whether the time since the start says something about the service time.
+	 */
+	release(isMeasured: boolean): void;
+};
+
+type Entry = {
+	readonly resolve: (result: Result<Slot, Refusal>) => void;
+	readonly timeout: Disposable;
+	readonly detach: () => void;
+};
+
+type RunningWork = {
+	readonly work: ScheduledWork;
+	readonly startedAt: number;
+};
+
+/** The one bounded queue of an instance, in front of its slots. */
+export class SlotQueue {
+	readonly estimates = new ServiceTimeEstimates();
+	readonly #options: SlotQueueOptions;
+	readonly #strategy: SchedulingStrategy;
+	readonly #waiting = new Map<ScheduledWork, Entry>();
+	readonly #waitingSet = new Set<ScheduledWork>();
+	readonly #running = new Set<RunningWork>();
+	#waitingBytes = 0;
+	#slots: number;
+	#isClosed = false;
+
+	constructor(options: SlotQueueOptions) {
+		this.#options = options;
+		this.#slots = options.slots;
+		this.#strategy = schedulingStrategies[options.policy]();
+	}
+
+	/** Statements that may run at the same time. */
+	get slots(): number {
+		return this.#slots;
+	}
+
+	get waitingCount(): number {
+		return this.#waiting.size;
+	}
+
+	get runningCount(): number {
+		return this.#running.size;
+	}
+
+	/**
+	 * Changes the number of statements that may run at the same time.
+	 *
+	 * @param slots - New number, at least 1.
+	 */
+	setSlots(slots: number): void {
+		this.#slots = Math.max(1, slots);
+		this.#dispatch();
+	}
+
+	/**
+	 * Queues work until it may run.
+	 *
+	 * @param request - Work to queue.
+	 * @param signal - Takes the work out of the queue.
+	 */
+	async acquire(request: SlotRequest, signal: AbortSignal): Promise<Result<Slot, Refusal>> {
+		const now = this.#options.timerService.now();
+		const work = this.#createWork(request, now);
+		const refusal = this.#check(work, signal);
+		if (refusal) {
+			return err(refusal);
+		}
+
+		return new Promise(resolve => {
+			const onAbort = () => {
+				this.#refuse(work, {reason: RefusalReason.DeadlineExceeded, message: 'the caller went away'});
+			};
+
+			signal.addEventListener('abort', onAbort, {once: true});
+			this.#waiting.set(work, {
+				resolve,
+				timeout: this.#options.timerService.schedule(work.givenUpAt - now, () => {
+					this.#refuse(work, {
+						reason: RefusalReason.DeadlineExceeded, message: 'the time limit passed before the start',
+					});
+				}),
+				detach() {
+					signal.removeEventListener('abort', onAbort);
+				},
+			});
+			this.#waitingSet.add(work);
+			this.#waitingBytes += work.bytes;
+			this.#dispatch();
+		});
+	}
+
+	/** Returns the present load figures. */
+	getLoad(): UpstreamLoad {
+		const state = this.#getState();
+		const waits = ranks.map(rank => [rank, this.#strategy.getExpectedWait(rank, state)] as const);
+		return {
+			expectedWaitMilliseconds: Object.fromEntries(waits) as Record<Rank, number>,
+			serviceMilliseconds: this.estimates.overallMilliseconds,
+		};
+	}
+
+	/** Refuses the waiting work and everything that comes later. */
+	close(): void {
+		this.#isClosed = true;
+		for (const work of this.#waiting.keys()) {
+			this.#refuse(work, {reason: RefusalReason.Stopping, message: 'the host no longer serves the instance'});
+		}
+	}
+
+	#createWork(request: SlotRequest, now: number): ScheduledWork {
+		const estimate = this.estimates.get(request);
+		return {
+			customer: request.customer,
+			customerWeight: request.customerWeight,
+			rank: request.rank,
+			kind: request.kind,
+			floorShare: request.floorShare,
+			lateRefund: request.lateRefund,
+			refusedRefund: request.refusedRefund,
+			bytes: request.bytes,
+			arrivedAt: now,
+			lateAt: request.lateAt,
+			givenUpAt: request.givenUpAt,
+			serviceMilliseconds: estimate.mean,
+			deviationMilliseconds: estimate.deviation,
+			isContinuation: request.isContinuation,
+		};
+	}
+
+	#check(work: ScheduledWork, signal: AbortSignal): Refusal | undefined {
+		if (this.#isClosed) {
+			return {reason: RefusalReason.Stopping, message: 'the host no longer serves the instance'};
+		}
+
+		if (signal.aborted || work.givenUpAt <= work.arrivedAt) {
+			return {reason: RefusalReason.DeadlineExceeded, message: 'the time limit passed before the start'};
+		}
+
+		const isFull = this.#waiting.size >= this.#options.maximumEntries
+			|| this.#waitingBytes + work.bytes > this.#options.maximumBytes;
+		if (isFull || (!work.isContinuation && !this.#strategy.admits(work, this.#getState()))) {
+			return this.#getOverload(work);
+		}
+
+		return undefined;
+	}
+
+	#getOverload(work: ScheduledWork): Refusal {
+		const wait = this.#strategy.getExpectedWait(work.rank, this.#getState());
+		return {
+			reason: RefusalReason.Overloaded,
+			message: 'the expected wait is too long',
+			retryAfterMilliseconds: Math.max(minimumRetryAfterMilliseconds, Math.ceil(wait)),
+		};
+	}
+
+	#getState(): QueueState {
+		const now = this.#options.timerService.now();
+		let residual = 0;
+		for (const {work, startedAt} of this.#running) {
+			residual += Math.max(0, work.serviceMilliseconds - (now - startedAt));
+		}
+
+		return {
+			now, slots: this.#slots, residualMilliseconds: residual, waiting: this.#waitingSet,
+		};
+	}
+
+	#dispatch(): void {
+		while (this.#running.size < this.#slots && this.#waiting.size > 0) {
+			const {next, refused} = this.#strategy.choose(this.#getState());
+			for (const work of refused) {
+				this.#refuse(work, this.#getOverload(work));
+			}
+
+			if (!next) {
+				return;
+			}
+
+			this.#start(next);
+		}
+	}
+
+	#start(work: ScheduledWork): void {
+		const entry = this.#remove(work);
+		const running: RunningWork = {work, startedAt: this.#options.timerService.now()};
+		this.#running.add(running);
+		entry?.resolve(ok({
+			release: (isMeasured: boolean) => {
+				this.#finish(running, isMeasured);
+			},
+		}));
+	}
+
+	#finish(running: RunningWork, isMeasured: boolean): void {
+		if (!this.#running.delete(running)) {
+			return;
+		}
+
+		const slotMilliseconds = this.#options.timerService.now() - running.startedAt;
+		if (isMeasured) {
+			this.estimates.add(running.work, slotMilliseconds);
+		}
+
+		this.#strategy.onServed(running.work, slotMilliseconds, this.#getState());
+		this.#dispatch();
+	}
+
+	#refuse(work: ScheduledWork, refusal: Refusal): void {
+		this.#remove(work)?.resolve(err(refusal));
+	}
+
+	#remove(work: ScheduledWork): Entry | undefined {
+		const entry = this.#waiting.get(work);
+		if (entry) {
+			this.#waiting.delete(work);
+			this.#waitingSet.delete(work);
+			this.#waitingBytes -= work.bytes;
+			entry.timeout[Symbol.dispose]();
+			entry.detach();
+		}
+
+		return entry;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/request/scheduling/statement-guard.ts
@@ -0,0 +1,69 @@
+import {type TimerService} from '@tarragonstack/core';
+import {type StatementConnection, type StatementOptions, type StatementOutcome} from './statement-connection.js';
+
+/** Time that a cancelled statement gets before its connection is closed, in milliseconds. */
+const cancelGraceMilliseconds = 1000;
+
+/** Limits of one guarded run. */
+export type StatementLimits = {
+	/** Identifier by which `cancel` finds the run. */
+	readonly requestIdentifier: string;
+	/** Monotonic time at which the statement is cancelled, in milliseconds. */
+	readonly givenUpAt: number;
+	/** Cancels the statement when aborted, if given. */
+	readonly signal?: AbortSignal;
+};
+
+/** Runs statements and cancels them on demand, when their time limit passes or when nobody waits for them. */
+export class StatementGuard {
+	readonly #timerService: TimerService;
+	readonly #running = new Map<string, () => void>();
+
+	constructor(timerService: TimerService) {
+		this.#timerService = timerService;
+	}
+
+	/**
+	 * Runs one statement unit.
+	 *
+	 * @param connection - Connection to use.
+	 * @param messages - Front-end messages.
+	 * @param options - Sink and what to withhold.
+	 * @param limits - When to cancel.
+	 */
+	async run(connection: StatementConnection, messages: Uint8Array, options: StatementOptions, limits: StatementLimits): Promise<StatementOutcome> {
+		let closeTimer: Disposable | undefined;
+		const cancel = () => {
+			void connection.cancel();
+			closeTimer ??= this.#timerService.schedule(cancelGraceMilliseconds, () => {
+				connection.close();
+			});
+		};
+
+		this.#running.set(limits.requestIdentifier, cancel);
+		const timer = this.#timerService.schedule(limits.givenUpAt - this.#timerService.now(), cancel);
+		limits.signal?.addEventListener('abort', cancel, {once: true});
+		try {
+			const outcome = connection.run(messages, options);
+			if (limits.signal?.aborted) {
+				cancel();
+			}
+
+			return await outcome;
+		} finally {
+			this.#running.delete(limits.requestIdentifier);
+			timer[Symbol.dispose]();
+			closeTimer?.[Symbol.dispose]();
+			limits.signal?.removeEventListener('abort', cancel);
+		}
+	}
+
+	/**
+	 * Cancels the statement of a request.
+	 *
+	 * @param requestIdentifier - Request whose statement runs.
+	 */
+	cancel(requestIdentifier: string): void {
+		this.#running.get(requestIdentifier)?.();
+	}
+}
