--- a/packages/daemon/src/connection/index.ts
+++ b/packages/daemon/src/connection/index.ts
@@ -1,2 +1,3 @@
 export * from './gateway/index.js';
 export * from './peer-network.js';
+export * from './upstream/index.js';
--- a/packages/daemon/src/request/index.ts
+++ b/packages/daemon/src/request/index.ts
@@ -3,3 +3,4 @@
 export type * from './instance-executor.js';
 export * from './term-confirmation.js';
 export * from './routing/index.js';
+export * from './scheduling/index.js';
