Add control connections, group monitor and majority term confirmation

Cause: writes may be acknowledged only after a check that the primary was not replaced, and reads need a read index. Change: PostgresInstanceControl pipelines the control functions over one pg connection from the host's own address. GroupMonitor polls the members of owned groups and keeps the newest status. MajorityTermConfirmation collects answers of a majority at the term of the primary; one question serves all calls that began before it. Monitor and confirmation have no tests yet.

--- /dev/null
+++ b/packages/daemon/src/connection/control/control-row.ts
@@ -0,0 +1,92 @@
+import {InstanceRole, type InstanceStatus} from '../../request/index.js';
+
+/** Row of a control function. The values are text, or numbers and booleans where the column type says so. */
+export type ControlRow = Readonly<Record<string, unknown>>;
+
+/** Error for a row that does not have the columns of design section 10.1. */
+export class ControlRowError extends Error {
+	override readonly name = 'ControlRowError';
+}
+
+/**
+ * Reads an integer column.
+ *
+ * @param row - Row of a control function.
+ * @param column - Name of the column.
+ */
+export function getIntegerOrThrow(row: ControlRow, column: string): number {
+	const value = row[column];
+	const number = typeof value === 'string' && value !== '' ? Number(value) : value;
+	if (typeof number !== 'number' || !Number.isSafeInteger(number)) {
+		throw new ControlRowError(`column ${column} is not an integer`);
+	}
+
+	return number;
+}
+
+/**
+ * Reads a Boolean column.
+ *
+ * @param row - Row of a control function.
+ * @param column - Name of the column.
+ */
+export function getBooleanOrThrow(row: ControlRow, column: string): boolean {
+	const value = row[column];
+	if (value === true || value === 't' || value === 'true') {
+		return true;
+	}
+
+	if (value === false || value === 'f' || value === 'false') {
+		return false;
+	}
+
+	throw new ControlRowError(`column ${column} is not a Boolean`);
+}
+
+function getTextOrThrow(row: ControlRow, column: string): string {
+	const value = row[column] ?? '';
+	if (typeof value !== 'string') {
+		throw new ControlRowError(`column ${column} is not text`);
+	}
+
+	return value;
+}
+
+function getRoleOrThrow(row: ControlRow): InstanceRole {
+	const text = getTextOrThrow(row, 'role');
+	const role = Object.values(InstanceRole).find(value => String(value) === text);
+	if (role === undefined) {
+		throw new ControlRowError(`role "${text}" is unknown`);
+	}
+
+	return role;
+}
+
+/**
+ * Reads the status columns of a row.
+ *
+ * @param row - Row of a control function.
+ * @param instance - Configured name of the instance.
+ * @param observedAt - Time at which the question was sent.
+ */
+export function getStatusOrThrow(row: ControlRow, instance: string, observedAt: number): InstanceStatus {
+	const reported = getTextOrThrow(row, 'instance');
+	if (reported !== instance) {
+		// A wrong address in the configuration would otherwise let one instance vote twice.
+		throw new ControlRowError(`instance "${reported}" answered at the address of "${instance}"`);
+	}
+
+	return {
+		instance,
+		role: getRoleOrThrow(row),
+		term: getIntegerOrThrow(row, 'term'),
+		promoter: getTextOrThrow(row, 'promoter'),
+		position: {term: getIntegerOrThrow(row, 'log_term'), index: getIntegerOrThrow(row, 'log_index')},
+		termStartIndex: getIntegerOrThrow(row, 'term_start_index'),
+		primarySilenceMilliseconds: getIntegerOrThrow(row, 'primary_silence_ms'),
+		primaryAddress: getTextOrThrow(row, 'primary_address'),
+		slots: getIntegerOrThrow(row, 'slots'),
+		connectionLimit: getIntegerOrThrow(row, 'connection_limit'),
+		observedAt,
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/connection/control/index.ts
@@ -0,0 +1,1 @@
+export * from './postgres-instance-control.js';
--- /dev/null
+++ b/packages/daemon/src/request/failover/group-confirmations.ts
@@ -0,0 +1,175 @@
+import {type TimerService} from '@tarragonstack/core';
+import {type InstanceStatus} from '../group-view.js';
+import {type ConfirmationOptions} from '../term-confirmation.js';
+import {type InstanceControl} from './instance-control.js';
+import {type ConfirmationResult, PendingConfirmation} from './pending-confirmation.js';
+
+/** Questions to one member that may be under way at once. Three keep the wait for the next one near a third of a round trip. */
+const maximumOverlappingQuestions = 3;
+
+/** Time after which an unanswered question no longer counts against the limit, in milliseconds, so that a lost answer does not stop new questions. */
+const overlapPatienceMilliseconds = 50;
+
+/** Delay before a member is asked again whose answer did not yet suffice, in milliseconds. */
+const askAgainDelayMilliseconds = 2;
+
+/** Delay before a member is asked again after a failed question, in milliseconds. */
+const retryDelayMilliseconds = 5;
+
+/** Time limit of one question, in milliseconds. */
+const questionTimeoutMilliseconds = 500;
+
+/** Weight of the newest round trip in the smoothed round trip. */
+const roundTripWeight = 0.2;
+
+type Member = {
+	readonly name: string;
+	/** Time of sending by number of the question, for questions without an answer. */
+	readonly underWay: Map<number, number>;
+	lastAskedAt: number;
+	notBefore: number;
+	roundTripMilliseconds: number;
+	timer?: Disposable;
+};
+
+/** Dependencies of the confirmations of one group. */
+export type GroupConfirmationsOptions = {
+	readonly timers: TimerService;
+	getControl(instance: string): InstanceControl | undefined;
+	/** Receives every status. */
+	onStatus(status: InstanceStatus): void;
+};
+
+/**
+ * Pending confirmations of one group. One question to a member serves all calls that began before the question was sent.
+ * The load is thus bounded by the round trip and does not depend on the number of calls.
+ */
+export class GroupConfirmations {
+	readonly #options: GroupConfirmationsOptions;
+	readonly #pending = new Set<PendingConfirmation>();
+	readonly #members: readonly Member[];
+	#questions = 0;
+
+	/**
+	 * @param members - Names of the members of the group.
+	 * @param options - Dependencies.
+	 */
+	constructor(members: readonly string[], options: GroupConfirmationsOptions) {
+		this.#options = options;
+		this.#members = members.map(name => ({
+			name,
+			underWay: new Map<number, number>(),
+			lastAskedAt: Number.NEGATIVE_INFINITY,
+			notBefore: Number.NEGATIVE_INFINITY,
+			roundTripMilliseconds: 0,
+		}));
+	}
+
+	/** Names of the members. */
+	get members(): readonly string[] {
+		return this.#members.map(member => member.name);
+	}
+
+	/**
+	 * Adds a call.
+	 *
+	 * @param primary - Instance that is taken for the primary.
+	 * @param options - What must hold.
+	 */
+	async confirm(primary: string, options: ConfirmationOptions): Promise<ConfirmationResult> {
+		return new Promise(resolve => {
+			const call = {members: this.members, primary, begunAt: this.#questions};
+			const pending = new PendingConfirmation(call, options, result => {
+				limit[Symbol.dispose]();
+				this.#pending.delete(pending);
+				resolve(result);
+			});
+			this.#pending.add(pending);
+			const limit = this.#options.timers.schedule(options.timeoutMilliseconds, () => {
+				pending.expire();
+			});
+			for (const member of this.#members) {
+				this.#pump(member);
+			}
+		});
+	}
+
+	/** Ends all calls without a proof. */
+	close(): void {
+		for (const pending of this.#pending) {
+			pending.expire();
+		}
+
+		for (const member of this.#members) {
+			member.timer?.[Symbol.dispose]();
+		}
+	}
+
+	#pump(member: Member): void {
+		const now = this.#options.timers.now();
+		const notBefore = this.#getNextQuestionTime(member, now);
+		if (notBefore === undefined) {
+			return;
+		}
+
+		if (notBefore <= now) {
+			void this.#ask(member, now);
+			return;
+		}
+
+		member.timer?.[Symbol.dispose]();
+		member.timer = this.#options.timers.schedule(notBefore - now, () => {
+			this.#pump(member);
+		});
+	}
+
+	/** Returns the time of the next question to a member, or `undefined` when no call needs one. */
+	#getNextQuestionTime(member: Member, now: number): number | undefined {
+		const newest = Math.max(-1, ...member.underWay.keys());
+		const waiting = [...this.#pending].filter(pending => pending.begunAt >= newest && pending.needs(member.name));
+		if (waiting.length === 0) {
+			return undefined;
+		}
+
+		const recent = [...member.underWay.values()].filter(sentAt => now - sentAt < overlapPatienceMilliseconds);
+		const limited = recent.length < maximumOverlappingQuestions
+			? Number.NEGATIVE_INFINITY
+			: Math.min(...recent) + overlapPatienceMilliseconds;
+		const spaced = recent.length === 0
+			? Number.NEGATIVE_INFINITY
+			: member.lastAskedAt + (member.roundTripMilliseconds / maximumOverlappingQuestions);
+		const first = waiting.some(pending => !pending.hasAnswer(member.name));
+		const again = first ? Number.NEGATIVE_INFINITY : member.lastAskedAt + askAgainDelayMilliseconds;
+		return Math.max(limited, spaced, again, member.notBefore);
+	}
+
+	async #ask(member: Member, now: number): Promise<void> {
+		const control = this.#options.getControl(member.name);
+		if (!control) {
+			return;
+		}
+
+		this.#questions++;
+		const number = this.#questions;
+		member.lastAskedAt = now;
+		member.underWay.set(number, now);
+		const answer = await control.status({timeoutMilliseconds: questionTimeoutMilliseconds});
+		member.underWay.delete(number);
+		const answeredAt = this.#options.timers.now();
+		if (answer.isOk()) {
+			member.roundTripMilliseconds += roundTripWeight * (answeredAt - now - member.roundTripMilliseconds);
+			this.#options.onStatus(answer.value);
+			for (const pending of this.#pending) {
+				pending.answer(number, answer.value);
+			}
+
+			// The first answer of the primary tells the position that the others must hold.
+			for (const other of this.#members) {
+				this.#pump(other);
+			}
+		} else {
+			member.notBefore = answeredAt + retryDelayMilliseconds;
+			this.#pump(member);
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/request/failover/group-monitor.ts
@@ -0,0 +1,209 @@
+import {type GroupDefinition, type TimerService} from '@tarragonstack/core';
+import {type ConfigurationStore} from '../../version/index.js';
+import {
+	type GroupView, InstanceRole, type InstanceStatus, type PrimaryView,
+} from '../group-view.js';
+import {type GroupOwnership} from './group-ownership.js';
+import {InstanceContact} from './instance-contact.js';
+import {type InstanceControlDirectory} from './instance-control-directory.js';
+import {
+	getStatusPollIntervalMilliseconds, minimumStatusPollIntervalMilliseconds,
+} from './status-poll-interval.js';
+
+/** Time after which a status poll has failed, in milliseconds. */
+const statusPollTimeoutMilliseconds = 500;
+
+/** Dependencies of the group monitor. */
+export type GroupMonitorOptions = {
+	readonly timers: TimerService;
+	readonly configuration: ConfigurationStore;
+	readonly ownership: GroupOwnership;
+	readonly controls: InstanceControlDirectory;
+};
+
+/** Polls the members of the groups of which this host owns a member, and knows the primary of every group. */
+export class GroupMonitor implements GroupView, AsyncDisposable {
+	readonly #options: GroupMonitorOptions;
+	readonly #statuses = new Map<string, InstanceStatus>();
+	readonly #primaries = new Map<string, PrimaryView>();
+	readonly #contacts = new Map<string, InstanceContact>();
+	readonly #polls = new Map<string, Disposable>();
+	readonly #listeners = new Set<(group: string, primary: PrimaryView) => void>();
+	readonly #subscriptions: Disposable[];
+	#monitoredGroups: readonly GroupDefinition[] = [];
+	#intervalMilliseconds = minimumStatusPollIntervalMilliseconds;
+
+	/**
+	 * @param options - Dependencies.
+	 */
+	constructor(options: GroupMonitorOptions) {
+		this.#options = options;
+		const refresh = () => {
+			this.#refresh();
+		};
+
+		this.#subscriptions = [options.configuration.subscribe(refresh), options.ownership.subscribe(refresh)];
+		this.#refresh();
+	}
+
+	/** Groups of which this host owns a member. */
+	get monitoredGroups(): readonly GroupDefinition[] {
+		return this.#monitoredGroups;
+	}
+
+	/** @inheritdoc */
+	getPrimary(group: string): PrimaryView | undefined {
+		return this.#primaries.get(group);
+	}
+
+	/** @inheritdoc */
+	getStatus(instance: string): InstanceStatus | undefined {
+		return this.#statuses.get(instance);
+	}
+
+	/** @inheritdoc */
+	learnPrimary(group: string, primary: PrimaryView): void {
+		const known = this.#primaries.get(group);
+		if (known && known.term >= primary.term) {
+			return;
+		}
+
+		this.#primaries.set(group, primary);
+		for (const listener of this.#listeners) {
+			listener(group, primary);
+		}
+	}
+
+	/** @inheritdoc */
+	subscribe(listener: (group: string, primary: PrimaryView) => void): Disposable {
+		this.#listeners.add(listener);
+		return {
+			[Symbol.dispose]: () => {
+				this.#listeners.delete(listener);
+			},
+		};
+	}
+
+	/**
+	 * Returns the greatest term that a member of a group reported or that a peer announced.
+	 *
+	 * @param group - Definition of the group.
+	 */
+	getGreatestTerm(group: GroupDefinition): number {
+		const terms = group.instances.map(instance => this.#statuses.get(instance.name)?.term ?? 0);
+		return Math.max(this.#primaries.get(group.name)?.term ?? 0, ...terms);
+	}
+
+	/**
+	 * Returns what is known about the reachability of a polled instance.
+	 *
+	 * @param instance - Name of the instance.
+	 */
+	getContact(instance: string): InstanceContact | undefined {
+		return this.#contacts.get(instance);
+	}
+
+	/** Forgets all failed polls, because this process was paused and the failures may be its own. */
+	restartDetection(): void {
+		for (const contact of this.#contacts.values()) {
+			contact.reset();
+		}
+	}
+
+	/**
+	 * Takes over a status from a poll, a confirmation or a promotion. Older knowledge never replaces newer knowledge: the
+	 * term of an instance only grows, so a smaller term is older, and equal terms are ordered by the time of the question.
+	 *
+	 * @param group - Name of the group.
+	 * @param status - Status that the instance reported.
+	 */
+	observe(group: string, status: InstanceStatus): void {
+		const known = this.#statuses.get(status.instance);
+		if (known && (known.term > status.term || (known.term === status.term && known.observedAt > status.observedAt))) {
+			return;
+		}
+
+		this.#statuses.set(status.instance, status);
+		if (status.role === InstanceRole.Primary) {
+			this.learnPrimary(group, {instance: status.instance, term: status.term});
+		}
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		for (const subscription of this.#subscriptions) {
+			subscription[Symbol.dispose]();
+		}
+
+		for (const poll of this.#polls.values()) {
+			poll[Symbol.dispose]();
+		}
+
+		this.#polls.clear();
+		this.#listeners.clear();
+	}
+
+	#refresh(): void {
+		const {configuration, ownership, controls} = this.#options;
+		const groups = configuration.getCurrent()?.configuration.groups ?? [];
+		const owned = new Set(ownership.getOwnedInstances());
+		this.#monitoredGroups = groups.filter(group => group.instances.some(instance => owned.has(instance.name)));
+		const members = new Map(this.#monitoredGroups.flatMap(group =>
+			group.instances.map(instance => [instance.name, {group: group.name, instance}] as const)));
+		let configuredInstances = 0;
+		for (const group of groups) {
+			configuredInstances += group.instances.length;
+		}
+
+		this.#intervalMilliseconds = getStatusPollIntervalMilliseconds(members.size, configuredInstances);
+		controls.update([...members.values()].map(member => member.instance));
+		for (const [name, poll] of this.#polls) {
+			if (!members.has(name)) {
+				poll[Symbol.dispose]();
+				this.#polls.delete(name);
+				this.#contacts.delete(name);
+				this.#statuses.delete(name);
+			}
+		}
+
+		for (const [name, member] of members) {
+			if (!this.#polls.has(name)) {
+				this.#contacts.set(name, new InstanceContact());
+				this.#poll(member.group, name);
+			}
+		}
+	}
+
+	#poll(group: string, instance: string): void {
+		const contact = this.#contacts.get(instance);
+		if (!contact) {
+			return;
+		}
+
+		void this.#ask(group, instance, contact);
+		// While questions fail, the short interval keeps the time until detection independent of the size of the fleet.
+		const interval = contact.failing ? minimumStatusPollIntervalMilliseconds : this.#intervalMilliseconds;
+		this.#polls.set(instance, this.#options.timers.schedule(interval, () => {
+			this.#poll(group, instance);
+		}));
+	}
+
+	async #ask(group: string, instance: string, contact: InstanceContact): Promise<void> {
+		const control = this.#options.controls.getControl(instance);
+		if (!control) {
+			return;
+		}
+
+		contact.recordQuestion(this.#options.timers.now());
+		const answer = await control.status({timeoutMilliseconds: statusPollTimeoutMilliseconds});
+		if (this.#contacts.get(instance) !== contact) {
+			return;
+		}
+
+		if (answer.isOk()) {
+			contact.recordAnswer();
+			this.observe(group, answer.value);
+		} else {
+			contact.recordFailure(answer.error);
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/request/failover/pending-confirmation.ts
@@ -0,0 +1,139 @@
+import {compareLogPositions, type LogPosition} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {InstanceRole, type InstanceStatus} from '../group-view.js';
+import {ConfirmationError, type ConfirmationOptions} from '../term-confirmation.js';
+import {getMajority} from './majority.js';
+
+/** Outcome of a confirmation. */
+export type ConfirmationResult = Result<LogPosition, ConfirmationError>;
+
+/**
+ * Proof of one call of `confirm`, built from answers to questions that were sent after the call began.
+ *
+ * A newer primary exists only after its term was raised on a majority. Two majorities share a member, and the term of a
+ * member never decreases. So when a majority answers with the term T of the primary, no newer primary existed when the
+ * first of these questions was sent. Members ahead of T do not weaken the proof as long as a majority is at T. They are
+ * ignored, because a promoter that died after it raised a minority would otherwise stop the writes of a healthy primary.
+ *
+ * With `replicated`, a member counts only while it is at term T and holds the position of the primary. It accepted that
+ * position before any later raise. Each later raised majority therefore has a member with the position, and the promoter
+ * chooses the greatest position. This needs the acknowledged write to be an entry of term T, which `expectedTerm` ensures.
+ */
+export class PendingConfirmation {
+	/** Number of the last question that was sent before the call began. */
+	readonly begunAt: number;
+	readonly primary: string;
+	readonly #members: readonly string[];
+	readonly #options: ConfirmationOptions;
+	readonly #answers = new Map<string, InstanceStatus>();
+	readonly #resolve: (result: ConfirmationResult) => void;
+	#primaryStatus: InstanceStatus | undefined;
+
+	/**
+	 * @param call - Members of the group, the instance taken for the primary, and the number of the last question.
+	 * @param options - What must hold.
+	 * @param resolve - Receives the outcome.
+	 */
+	constructor(
+		call: {readonly members: readonly string[]; readonly primary: string; readonly begunAt: number},
+		options: ConfirmationOptions,
+		resolve: (result: ConfirmationResult) => void,
+	) {
+		this.begunAt = call.begunAt;
+		this.primary = call.primary;
+		this.#members = call.members;
+		this.#options = options;
+		this.#resolve = resolve;
+	}
+
+	/**
+	 * Tells whether another answer of a member could help.
+	 *
+	 * @param instance - Name of the member.
+	 */
+	needs(instance: string): boolean {
+		if (!this.#answers.has(instance)) {
+			return true;
+		}
+
+		return this.#primaryStatus !== undefined && !this.#counts(instance);
+	}
+
+	/**
+	 * Tells whether a member answered since the call began.
+	 *
+	 * @param instance - Name of the member.
+	 */
+	hasAnswer(instance: string): boolean {
+		return this.#answers.has(instance);
+	}
+
+	/**
+	 * Takes an answer.
+	 *
+	 * @param questionNumber - Number of the question. Questions sent before the call began prove nothing.
+	 * @param status - Status in the answer.
+	 * @returns Whether the outcome is known.
+	 */
+	answer(questionNumber: number, status: InstanceStatus): boolean {
+		if (questionNumber <= this.begunAt) {
+			return false;
+		}
+
+		this.#answers.set(status.instance, status);
+		if (status.instance === this.primary) {
+			this.#primaryStatus ??= status;
+		}
+
+		const result = this.#evaluate();
+		if (result) {
+			this.#resolve(result);
+		}
+
+		return result !== undefined;
+	}
+
+	/** Ends the call without a proof. */
+	expire(): void {
+		this.#resolve(err(ConfirmationError.TimedOut));
+	}
+
+	#evaluate(): ConfirmationResult | undefined {
+		const primary = this.#primaryStatus;
+		const {expectedTerm} = this.#options;
+		if (primary && (primary.role !== InstanceRole.Primary || (expectedTerm ?? primary.term) !== primary.term)) {
+			return err(ConfirmationError.Replaced);
+		}
+
+		const term = primary?.term ?? expectedTerm;
+		if (term === undefined) {
+			return undefined;
+		}
+
+		const majority = getMajority(this.#members.length);
+		const ahead = this.#members.filter(member => (this.#answers.get(member)?.term ?? 0) > term).length;
+		if (this.#members.length - ahead < majority) {
+			return err(ConfirmationError.Replaced);
+		}
+
+		if (!primary || this.#members.filter(member => this.#counts(member)).length < majority) {
+			return undefined;
+		}
+
+		return ok(primary.position);
+	}
+
+	#counts(instance: string): boolean {
+		const primary = this.#primaryStatus;
+		if (instance === this.primary) {
+			return primary !== undefined;
+		}
+
+		const status = this.#answers.get(instance);
+		if (!primary || status?.term !== primary.term) {
+			return false;
+		}
+
+		return !this.#options.replicated || compareLogPositions(status.position, primary.position) >= 0;
+	}
+}
--- /dev/null
+++ b/packages/daemon/tests/connection/control/postgres-instance-control.test.ts
@@ -0,0 +1,291 @@
+import {once} from 'node:events';
+import {createServer, type Server, type Socket} from 'node:net';
+import {SystemTimerService} from '@tarragonstack/core';
+import {type Result} from 'neverthrow';
+import {afterEach, describe, expect, it} from 'vitest';
+import {type ControlError, ControlErrorKind, PostgresInstanceControl} from '../../../src/index.js';
+
+const defaultRow: Readonly<Record<string, string>> = {
+	accepted: 't', instance: 'db-1', role: 'primary', term: '3', promoter: 'host-1', log_term: '3', log_index: '12',
+	term_start_index: '9', primary_silence_ms: '0', primary_address: '127.0.0.1:1', slots: '3', connection_limit: '20',
+};
+
+function message(type: string, ...parts: Buffer[]): Buffer {
+	const body = Buffer.concat(parts);
+	const header = Buffer.alloc(5);
+	header.write(type, 'latin1');
+	header.writeInt32BE(body.length + 4, 1);
+	return Buffer.concat([header, body]);
+}
+
+function integer(value: number, bytes: 2 | 4): Buffer {
+	const buffer = Buffer.alloc(bytes);
+	buffer.writeIntBE(value, 0, bytes);
+	return buffer;
+}
+
+function text(value: string): Buffer {
+	return Buffer.from(`${value}\0`);
+}
+
+const ready = message('Z', Buffer.from('I'));
+
+function createAnswer(row: Readonly<Record<string, string>>): Buffer {
+	const names = Object.keys(row);
+	return Buffer.concat([
+		message('T', integer(names.length, 2), ...names.flatMap(name => [
+			text(name), integer(0, 4), integer(0, 2), integer(25, 4), integer(-1, 2), integer(-1, 4), integer(0, 2),
+		])),
+		message('D', integer(names.length, 2), ...names.flatMap(name => {
+			const value = Buffer.from(row[name] ?? '');
+			return [integer(value.length, 4), value];
+		})),
+		message('C', text('SELECT 1')),
+		ready,
+	]);
+}
+
+type Connection = {
+	readonly socket: Socket;
+	readonly queries: string[];
+};
+
+/** Answers the start-up message and collects simple queries. */
+class FakeServer {
+	readonly connections: Connection[] = [];
+	readonly #server: Server;
+
+	constructor() {
+		this.#server = createServer(socket => {
+			this.#serve(socket);
+		});
+	}
+
+	onQuery = (connection: Connection): void => {
+		connection.socket.write(createAnswer(defaultRow));
+	};
+
+	getPort(): number {
+		const address = this.#server.address();
+		return typeof address === 'object' && address ? address.port : 0;
+	}
+
+	async listen(port = 0): Promise<this> {
+		this.#server.listen(port, '127.0.0.1');
+		await once(this.#server, 'listening');
+		return this;
+	}
+
+	async close(): Promise<void> {
+		if (!this.#server.listening) {
+			return;
+		}
+
+		const closed = once(this.#server, 'close');
+		this.#server.close();
+		for (const {socket} of this.connections) {
+			socket.resetAndDestroy();
+		}
+
+		await closed;
+	}
+
+	#serve(socket: Socket): void {
+		const connection: Connection = {socket, queries: []};
+		this.connections.push(connection);
+		let buffer = Buffer.alloc(0);
+		let started = false;
+		socket.on('error', () => {});
+		socket.on('data', chunk => {
+			buffer = Buffer.concat([buffer, chunk]);
+			for (;;) {
+				const prefix = started ? 1 : 0;
+				if (buffer.length < prefix + 4 || buffer.length < prefix + buffer.readInt32BE(prefix)) {
+					return;
+				}
+
+				const end = prefix + buffer.readInt32BE(prefix);
+				const body = buffer.subarray(prefix + 4, end);
+				buffer = buffer.subarray(end);
+				if (started) {
+					const query = body.toString('utf8').replace(/\0$/v, '');
+					connection.queries.push(query);
+					this.onQuery(connection);
+				} else {
+					started = true;
+					socket.write(Buffer.concat([message('R', integer(0, 4)), ready]));
+				}
+			}
+		});
+	}
+}
+
+function createDeferred<Value>(): {promise: Promise<Value>; resolve: (value: Value) => void} {
+	let resolve: (value: Value) => void = () => {};
+	const promise = new Promise<Value>(resolvePromise => {
+		resolve = resolvePromise;
+	});
+	return {promise, resolve};
+}
+
+async function getError(answer: Promise<Result<unknown, ControlError>>): Promise<ControlError> {
+	const settled = await answer;
+	return settled._unsafeUnwrapErr();
+}
+
+async function getValue<Value>(answer: Promise<Result<Value, ControlError>>): Promise<Value> {
+	const settled = await answer;
+	return settled._unsafeUnwrap();
+}
+
+const timers = new SystemTimerService();
+const resources: Array<() => Promise<void>> = [];
+
+function createControl(port: number): PostgresInstanceControl {
+	const control = new PostgresInstanceControl({
+		timers,
+		instance: {
+			name: 'db-1', address: `127.0.0.1:${port}`, availabilityZone: 'a', slots: 3, connectionLimit: 20, leaving: false,
+		},
+		localAddress: '127.0.0.7',
+		user: 'tarragon',
+		password: 'secret',
+		database: 'group-1',
+	});
+	resources.push(async () => {
+		await control[Symbol.asyncDispose]();
+	});
+	return control;
+}
+
+async function createServerAndControl(): Promise<{server: FakeServer; control: PostgresInstanceControl}> {
+	const server = await new FakeServer().listen();
+	resources.push(async () => server.close());
+	return {server, control: createControl(server.getPort())};
+}
+
+afterEach(async () => {
+	for (let release = resources.pop(); release; release = resources.pop()) {
+		await release();
+	}
+});
+
+describe('PostgresInstanceControl', () => {
+	it('reads the status from the source address of the host (a wrong source would evade the relay\'s rules)', async () => {
+		const {server, control} = await createServerAndControl();
+		const status = await getValue(control.status({timeoutMilliseconds: 2000}));
+		expect(status).toMatchObject({
+			instance: 'db-1', role: 'primary', term: 3, position: {term: 3, index: 12}, termStartIndex: 9, slots: 3,
+		});
+		expect(server.connections[0]?.socket.remoteAddress).toBe('127.0.0.7');
+	});
+
+	it('sends several questions before the first answer and assigns the answers in order', async () => {
+		const {server, control} = await createServerAndControl();
+		await control.status({timeoutMilliseconds: 2000});
+		const {promise, resolve} = createDeferred<Connection>();
+		server.onQuery = connection => {
+			if (connection.queries.length === 4) {
+				resolve(connection);
+			}
+		};
+
+		const answers = Promise.all([
+			control.raise(4, 'host-1', {timeoutMilliseconds: 2000}),
+			control.promote(4, 'host-1', {timeoutMilliseconds: 2000}),
+			control.follow('127.0.0.1:5432', 4, {timeoutMilliseconds: 2000}),
+		]);
+		const connection = await promise;
+		expect(connection.queries.slice(1)).toEqual([
+			'SELECT * FROM tarragon_raise(4, \'host-1\')',
+			'SELECT * FROM tarragon_promote(4, \'host-1\')',
+			'SELECT * FROM tarragon_follow(\'127.0.0.1:5432\', 4)',
+		]);
+		connection.socket.write(createAnswer({...defaultRow, term: '4'}));
+		connection.socket.write(createAnswer({...defaultRow, term: '4', accepted: 'f'}));
+		connection.socket.write(message('E', text('SERROR'), text('C0A000'), text('Mno follow'), Buffer.from([0])));
+		connection.socket.write(ready);
+		const [raised, promoted, followed] = await answers;
+		expect(raised._unsafeUnwrap().accepted).toBe(true);
+		expect(promoted._unsafeUnwrap().accepted).toBe(false);
+		expect(followed._unsafeUnwrapErr().kind).toBe(ControlErrorKind.Rejected);
+	});
+
+	it('reports a late answer as timed out and gives it to no later question', async () => {
+		const {server, control} = await createServerAndControl();
+		await control.status({timeoutMilliseconds: 2000});
+		const {promise, resolve} = createDeferred<Connection>();
+		server.onQuery = connection => {
+			if (connection.queries.length === 3) {
+				resolve(connection);
+			}
+		};
+
+		const early = await control.status({timeoutMilliseconds: 20});
+		expect(early._unsafeUnwrapErr().kind).toBe(ControlErrorKind.TimedOut);
+		const later = control.status({timeoutMilliseconds: 2000});
+		const connection = await promise;
+		connection.socket.write(createAnswer({...defaultRow, log_index: '100'}));
+		connection.socket.write(createAnswer({...defaultRow, log_index: '101'}));
+		expect(await getValue(later)).toMatchObject({position: {index: 101}});
+	});
+
+	it('tells a reset connection from refused attempts, counts the attempts, and reconnects', async () => {
+		const {server, control} = await createServerAndControl();
+		await control.status({timeoutMilliseconds: 2000});
+		server.onQuery = () => {};
+		const lost = control.status({timeoutMilliseconds: 2000});
+		const port = server.getPort();
+		await server.close();
+		expect(await getError(lost)).toMatchObject({kind: ControlErrorKind.Reset});
+		const first = await getError(control.status({timeoutMilliseconds: 2000}));
+		const second = await getError(control.status({timeoutMilliseconds: 2000}));
+		expect([first.kind, second.kind]).toEqual([ControlErrorKind.Refused, ControlErrorKind.Refused]);
+		expect(second.connectionAttempt).toBeGreaterThan(first.connectionAttempt);
+		const restarted = await new FakeServer().listen(port);
+		resources.push(async () => restarted.close());
+		let answer = await control.status({timeoutMilliseconds: 2000});
+		for (let attempt = 0; answer.isErr() && attempt < 10; attempt++) {
+			answer = await control.status({timeoutMilliseconds: 2000});
+		}
+
+		expect(answer.isOk()).toBe(true);
+	});
+
+	it('opens a new connection when the old one is silent (TCP would recover seconds after a partition)', async () => {
+		const {server, control} = await createServerAndControl();
+		await control.status({timeoutMilliseconds: 2000});
+		server.onQuery = connection => {
+			if (connection !== server.connections[0]) {
+				connection.socket.write(createAnswer(defaultRow));
+			}
+		};
+
+		expect(await getError(control.status({timeoutMilliseconds: 500}))).toMatchObject({kind: ControlErrorKind.TimedOut});
+		expect(await getValue(control.status({timeoutMilliseconds: 2000}))).toMatchObject({instance: 'db-1'});
+		expect(server.connections).toHaveLength(2);
+	});
+
+	it.each([
+		{column: 'instance', value: 'db-2', guards: 'an address that leads to another instance, which would vote twice'},
+		{column: 'term', value: 'many', guards: 'a column that is not a number'},
+		{column: 'role', value: 'witness', guards: 'an unknown role'},
+	])('rejects $guards', async ({column, value}) => {
+		const {server, control} = await createServerAndControl();
+		server.onQuery = connection => {
+			connection.socket.write(createAnswer({...defaultRow, [column]: value}));
+		};
+
+		const answer = await control.status({timeoutMilliseconds: 2000});
+		expect(answer._unsafeUnwrapErr().kind).toBe(ControlErrorKind.Rejected);
+	});
+
+	it('ends open questions when it is closed (a stopping host must not wait for an instance)', async () => {
+		const {server, control} = await createServerAndControl();
+		await control.status({timeoutMilliseconds: 2000});
+		server.onQuery = () => {};
+		const open = control.status({timeoutMilliseconds: 60_000});
+		await control[Symbol.asyncDispose]();
+		expect(await getError(open)).toMatchObject({kind: ControlErrorKind.Closed});
+	});
+});
