--- a/packages/daemon/src/connection/index.ts
+++ b/packages/daemon/src/connection/index.ts
@@ -1,3 +1,4 @@
 export * from './gateway/index.js';
 export * from './peer-network.js';
 export * from './upstream/index.js';
+export * from './control/index.js';
--- a/packages/daemon/src/request/index.ts
+++ b/packages/daemon/src/request/index.ts
@@ -4,3 +4,4 @@
 export * from './term-confirmation.js';
 export * from './routing/index.js';
 export * from './scheduling/index.js';
+export * from './failover/index.js';
