--- a/packages/daemon/src/process/settings/settings.ts
+++ b/packages/daemon/src/process/settings/settings.ts
@@ -18,8 +18,8 @@
 	}),
 	peers: z.strictObject({
 		port,
-		/** Peer addresses that are asked when the membership list cannot be read. */
-		seeds: z.array(peerAddress).default([]),
+		/** Hosts that are asked when the membership list cannot be read. */
+		seeds: z.array(z.strictObject({name, availabilityZone: name, peerAddress})).default([]),
 		tls: z.strictObject({certificateFile: z.string(), keyFile: z.string(), authorityFile: z.string()}).optional(),
 	}),
 	admin: z.strictObject({port}),
