--- a/packages/daemon/src/connection/index.ts
+++ b/packages/daemon/src/connection/index.ts
@@ -1,4 +1,5 @@
 export * from './gateway/index.js';
+export * from './peer/index.js';
 export * from './peer-network.js';
 export * from './upstream/index.js';
 export * from './control/index.js';
