Add the listener and the connections of callers

Cause: the daemon has no entry side for PostgreSQL drivers.

Change: CallerListener and CallerConnection on pg-gateway's login, statement units with named statements, classification of SQL text, request options, graceful drain, cancel keys and metrics.

--- /dev/null
+++ b/packages/daemon/src/connection/caller/caller-login.ts
@@ -0,0 +1,250 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {type Socket} from 'node:net';
+import {type Contract, TransactionStatus} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {type TlsOptions} from 'pg-gateway';
+import {parseStartupOptions, SessionAction} from '../../request/index.js';
+import {type ConfigurationStore} from '../../version/index.js';
+import {
+	encodeAuthenticationOk, encodeBackendKeyData, encodeError, encodeParameterStatus, encodeReadyForQuery, Severity,
+} from './back-end-messages.js';
+import {type CallerError, SqlState} from './caller-error.js';
+import {type FrontEndReader} from './front-end-reader.js';
+import {GatewayConnection} from './gateway-connection.js';
+import {checkGroup, SessionState} from './session-state.js';
+
+const cancelRequestCode = 80_877_102;
+const tlsRequestCode = 80_877_103;
+const gssapiRequestCode = 80_877_104;
+const startupParametersOffset = 8;
+const sha256Bytes = 32;
+
+/** Start-up parameters that are not settings. */
+const reservedParameters: ReadonlySet<string> = new Set(['user', 'database', 'options', 'replication']);
+const falseValues: ReadonlySet<string> = new Set(['false', 'off', 'no', '0']);
+
+/* eslint-disable unicorn/text-encoding-identifier-case -- PostgreSQL reports the encoding in upper case. */
+/** Parameters that drivers read after the login. */
+const reportedParameters: ReadonlyArray<readonly [name: string, value: string]> = [
+	['server_version', '16.0'],
+	['server_encoding', 'UTF8'],
+	['client_encoding', 'UTF8'],
+	['DateStyle', 'ISO, MDY'],
+	['IntervalStyle', 'postgres'],
+	['TimeZone', 'UTC'],
+	['integer_datetimes', 'on'],
+	['standard_conforming_strings', 'on'],
+];
+/* eslint-enable unicorn/text-encoding-identifier-case */
+
+/** Login that succeeded. */
+export type Login = {
+	/** Socket of the session: the TLS socket if the caller asked for TLS. */
+	readonly socket: Socket;
+	readonly user: string;
+	readonly customer: string;
+	readonly session: SessionState;
+};
+
+/** What a login needs. */
+export type LoginOptions = {
+	readonly socket: Socket;
+	readonly reader: FrontEndReader;
+	readonly configurationStore: ConfigurationStore;
+	readonly tls?: TlsOptions;
+	/** Counts the connection; false when the customer has as many connections as the contract permits. */
+	readonly admit: (contract: Contract) => boolean;
+	/** Passes on the key of a cancel request. */
+	readonly cancel: (key: Buffer) => void;
+	/** Key that the caller receives for cancel requests. */
+	readonly cancelKey: Buffer;
+};
+
+/** Start-up, TLS and password login of one caller connection. */
+export class CallerLogin {
+	readonly #options: LoginOptions;
+	readonly #gateway: GatewayConnection;
+
+	/**
+	 * @param options - Connection and what the login needs.
+	 */
+	constructor(options: LoginOptions) {
+		this.#options = options;
+		this.#gateway = new GatewayConnection(options.socket, {
+			authMode: 'cleartextPassword',
+			...(options.tls && {tls: options.tls}),
+			onTlsUpgrade: () => {
+				options.reader.attach(this.#gateway.socket);
+			},
+			onStartup: () => this.#refuseWithoutConfiguration(),
+			validateCredentials: credentials => credentials.authMode === 'cleartextPassword' && this.#isValid(credentials.user, credentials.password),
+		});
+	}
+
+	/**
+	 * Runs the login.
+	 *
+	 * @returns `undefined` when the connection must be closed: after a refusal, a cancel request, or invalid bytes.
+	 */
+	async run(): Promise<Login | undefined> {
+		const startup = await this.#readStartup();
+		if (!startup) {
+			return undefined;
+		}
+
+		await this.#hand(startup);
+		const password = await this.#options.reader.readLoginMessage();
+		// The library reads beyond the end of a message without a terminator.
+		if (password?.type !== 'p' || !password.bytes.includes(0, 5)) {
+			return undefined;
+		}
+
+		let isAuthenticated = false;
+		this.#gateway.onLogin = () => {
+			isAuthenticated = true;
+		};
+
+		await this.#hand(password.bytes);
+		return isAuthenticated ? this.#complete() : undefined;
+	}
+
+	async #readStartup(): Promise<Buffer | undefined> {
+		const {reader, socket, cancel} = this.#options;
+		for (;;) {
+			const packet = await reader.readStartupPacket();
+			const code = packet?.readInt32BE(4);
+			if (!packet || code === cancelRequestCode) {
+				cancel(packet?.subarray(8) ?? Buffer.alloc(0));
+				return undefined;
+			}
+
+			if (code === gssapiRequestCode) {
+				socket.write('N');
+			} else if (code === tlsRequestCode) {
+				// Bytes in plain text behind the request could be taken for bytes of the TLS session.
+				if (reader.bufferedBytes > 0 || this.#gateway.secureSocket) {
+					return undefined;
+				}
+
+				await this.#hand(packet);
+			} else {
+				return isWellFormedStartup(packet) ? packet : undefined;
+			}
+		}
+	}
+
+	/** Hands one message to the library; returns early when the connection ends, for example in a TLS handshake. */
+	async #hand(message: Buffer): Promise<void> {
+		const {ended} = this.#options.reader;
+		await Promise.race([
+			this.#gateway.handleData(message),
+			new Promise<void>(resolve => {
+				ended.addEventListener('abort', () => {
+					resolve();
+				}, {once: true});
+			}),
+		]);
+	}
+
+	#refuseWithoutConfiguration(): boolean {
+		if (this.#options.configurationStore.getCurrent()) {
+			return false;
+		}
+
+		this.#refuse({code: SqlState.NoConfiguration, message: 'the host has no configuration yet', hint: 'retry after 1000 ms'});
+		return true;
+	}
+
+	#isValid(user: string, password: string): boolean {
+		const contract = this.#options.configurationStore.getCurrent()?.getContractOfUser(user);
+		const expected = contract?.users.find(candidate => candidate.name === user)?.passwordSha256;
+		const digest = createHash('sha256').update(password).digest();
+		const isEqual = timingSafeEqual(digest, expected === undefined ? Buffer.alloc(sha256Bytes) : Buffer.from(expected, 'hex'));
+		return isEqual && expected !== undefined;
+	}
+
+	#complete(): Login | undefined {
+		const parameters = this.#gateway.clientInfo?.parameters ?? {user: ''};
+		const contract = this.#options.configurationStore.getCurrent()?.getContractOfUser(parameters.user);
+		if (!contract) {
+			return undefined;
+		}
+
+		const session = new SessionState(parameters.database ?? parameters.user);
+		const applied = applyParameters(session, parameters, contract);
+		if (applied.isErr()) {
+			this.#refuse(applied.error);
+			return undefined;
+		}
+
+		if (!this.#options.admit(contract)) {
+			this.#refuse({
+				code: SqlState.TooManyConnections,
+				message: `customer "${contract.customer}" has ${contract.limits.connectionsPerHost} connections to this host, as many as its contract permits`,
+			});
+			return undefined;
+		}
+
+		this.#gateway.socket.write(Buffer.concat([
+			encodeAuthenticationOk(),
+			...reportedParameters.map(([name, value]) => encodeParameterStatus(name, value)),
+			encodeParameterStatus('application_name', session.applicationName),
+			encodeBackendKeyData(this.#options.cancelKey),
+			encodeReadyForQuery(TransactionStatus.Idle),
+		]));
+		return {
+			socket: this.#gateway.socket,
+			user: parameters.user,
+			customer: contract.customer,
+			session,
+		};
+	}
+
+	#refuse(error: CallerError): undefined {
+		this.#gateway.socket.end(encodeError(Severity.Fatal, error));
+	}
+}
+
+function applyParameters(session: SessionState, parameters: Readonly<Record<string, string>>, contract: Contract): Result<void, CallerError> {
+	if (parameters.replication !== undefined && !falseValues.has(parameters.replication)) {
+		return err({code: SqlState.FeatureNotSupported, message: 'replication connections are not supported'});
+	}
+
+	const options = parseStartupOptions(parameters.options ?? '');
+	if (options.isErr()) {
+		return err({code: SqlState.InvalidParameterValue, message: options.error});
+	}
+
+	const settings = Object.entries(parameters).filter(([name]) => !reservedParameters.has(name) && !name.startsWith('_pq_.'));
+	for (const [name, value] of [...settings, ...options.value]) {
+		const applied = session.apply({action: SessionAction.Set, name: name.toLowerCase(), value}, contract);
+		if (applied.isErr()) {
+			return err(applied.error);
+		}
+	}
+
+	session.keepAsInitial();
+	return checkGroup(session.group, contract).mapErr(() => ({
+		code: SqlState.InvalidDatabase,
+		message: `database "${session.group}" is not a group of the contract`,
+	}));
+}
+
+/** Checks that the parameters are pairs of terminated strings. The library loops forever on an unterminated string. */
+function isWellFormedStartup(packet: Buffer): boolean {
+	let offset = startupParametersOffset;
+	for (let strings = 0; offset < packet.length; strings++) {
+		const end = packet.indexOf(0, offset);
+		if (end === offset && strings % 2 === 0) {
+			return end === packet.length - 1;
+		}
+
+		if (end === -1) {
+			return false;
+		}
+
+		offset = end + 1;
+	}
+
+	return false;
+}
--- /dev/null
+++ b/packages/daemon/src/connection/caller/front-end-reader.ts
@@ -0,0 +1,202 @@
+import {type Socket} from 'node:net';
+import {type TimerService} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {type CallerError, SqlState} from './caller-error.js';
+
+/** Message of a caller. */
+export type FrontEndMessage = {
+	/** Type of the message as a character. */
+	readonly type: string;
+	/** The whole message with its header. */
+	readonly bytes: Buffer;
+	/** Monotonic time at which the first byte was read, in milliseconds. */
+	readonly arrivedAt: number;
+};
+
+/** Greatest size of one message or one unit, in bytes. */
+export const maximumMessageBytes = 8 * 1024 * 1024;
+/** Received bytes that may wait while a unit runs, in bytes; beyond them the socket is paused. */
+const pauseThresholdBytes = 64 * 1024;
+/** Greatest size of a message before the login is complete, in bytes. */
+const maximumLoginBytes = 10_000;
+const typedHeaderBytes = 5;
+const startupHeaderBytes = 8;
+
+type Chunk = {
+	readonly bytes: Buffer;
+	readonly arrivedAt: number;
+};
+
+/** Splits the bytes of a caller's socket into messages. Reads ahead only up to a bound. */
+export class FrontEndReader {
+	readonly #timers: TimerService;
+	readonly #ended = new AbortController();
+	#socket?: Socket;
+	#chunks: Chunk[] = [];
+	#bufferedBytes = 0;
+	#wake?: () => void;
+
+	/**
+	 * @param timers - Source of arrival times.
+	 */
+	constructor(timers: TimerService) {
+		this.#timers = timers;
+	}
+
+	/** Aborted when the socket ended or `close` was called. */
+	get ended(): AbortSignal {
+		return this.#ended.signal;
+	}
+
+	/** Number of received bytes that no message was made of. */
+	get bufferedBytes(): number {
+		return this.#bufferedBytes;
+	}
+
+	/**
+	 * Reads from a socket, and no longer from the former one.
+	 *
+	 * @param socket - Plain or TLS socket.
+	 */
+	attach(socket: Socket): void {
+		this.#socket?.off('data', this.#onData);
+		this.#socket = socket;
+		socket.on('data', this.#onData);
+		socket.on('end', this.#onEnd);
+		socket.on('close', this.#onEnd);
+		// The reason of a failed connection does not matter; `close` follows.
+		socket.on('error', this.#onEnd);
+		if (socket.destroyed) {
+			this.#onEnd();
+		}
+	}
+
+	/** Stops delivering messages. */
+	close(): void {
+		this.#onEnd();
+	}
+
+	/**
+	 * Reads a packet without a type: start-up, TLS request or cancel request.
+	 *
+	 * @returns The packet, or `undefined` when the caller ended or sent something else.
+	 */
+	async readStartupPacket(): Promise<Buffer | undefined> {
+		if (!await this.#waitFor(startupHeaderBytes)) {
+			return undefined;
+		}
+
+		const length = this.#peek(4).readUInt32BE(0);
+		if (length < startupHeaderBytes || length > maximumLoginBytes || !await this.#waitFor(length)) {
+			return undefined;
+		}
+
+		return this.#take(length).bytes;
+	}
+
+	/**
+	 * Reads the message that answers the request for a password.
+	 */
+	async readLoginMessage(): Promise<FrontEndMessage | undefined> {
+		const message = await this.readMessage(maximumLoginBytes);
+		return message.unwrapOr(undefined);
+	}
+
+	/**
+	 * Reads the next message.
+	 *
+	 * @param maximumBytes - Greatest permitted size.
+	 * @returns The message, `undefined` when the caller ended, or the error after which the stream is unusable.
+	 */
+	async readMessage(maximumBytes: number): Promise<Result<FrontEndMessage | undefined, CallerError>> {
+		if (!await this.#waitFor(typedHeaderBytes)) {
+			return ok(undefined);
+		}
+
+		const header = this.#peek(typedHeaderBytes);
+		const length = header.readUInt32BE(1);
+		if (length < 4) {
+			return err({code: SqlState.ProtocolViolation, message: `invalid message length ${length}`});
+		}
+
+		if (length + 1 > maximumBytes) {
+			return err({
+				code: SqlState.ProgramLimitExceeded,
+				message: `a message of ${length + 1} bytes exceeds the limit of ${maximumBytes} bytes`,
+			});
+		}
+
+		if (!await this.#waitFor(length + 1)) {
+			return ok(undefined);
+		}
+
+		const {bytes, arrivedAt} = this.#take(length + 1);
+		return ok({type: String.fromCodePoint(bytes[0] ?? 0), bytes, arrivedAt});
+	}
+
+	readonly #onData = (bytes: Buffer): void => {
+		if (this.#ended.signal.aborted) {
+			return;
+		}
+
+		this.#chunks.push({bytes, arrivedAt: this.#timers.now()});
+		this.#bufferedBytes += bytes.length;
+		if (this.#wake) {
+			this.#wake();
+		} else if (this.#bufferedBytes >= pauseThresholdBytes) {
+			this.#socket?.pause();
+		}
+	};
+
+	readonly #onEnd = (): void => {
+		this.#ended.abort();
+		this.#wake?.();
+	};
+
+	async #waitFor(length: number): Promise<boolean> {
+		while (this.#bufferedBytes < length && !this.#ended.signal.aborted) {
+			this.#socket?.resume();
+			await new Promise<void>(resolve => {
+				this.#wake = resolve;
+			});
+			this.#wake = undefined;
+		}
+
+		return !this.#ended.signal.aborted;
+	}
+
+	#peek(length: number): Buffer {
+		const first = this.#chunks[0]?.bytes;
+		if (first && first.length >= length) {
+			return first.subarray(0, length);
+		}
+
+		// The header of a message may be split among chunks of one byte each.
+		return Buffer.concat(this.#chunks.slice(0, length).map(chunk => chunk.bytes)).subarray(0, length);
+	}
+
+	#take(length: number): Chunk {
+		const arrivedAt = this.#chunks[0]?.arrivedAt ?? this.#timers.now();
+		const parts: Buffer[] = [];
+		let used = 0;
+		let missing = length;
+		for (; missing > 0; used++) {
+			const chunk = this.#chunks[used];
+			if (!chunk) {
+				break;
+			}
+
+			parts.push(chunk.bytes.subarray(0, missing));
+			if (chunk.bytes.length > missing) {
+				this.#chunks[used] = {bytes: chunk.bytes.subarray(missing), arrivedAt: chunk.arrivedAt};
+				break;
+			}
+
+			missing -= chunk.bytes.length;
+		}
+
+		this.#chunks = this.#chunks.slice(used);
+		this.#bufferedBytes -= length;
+		return {bytes: parts.length === 1 && parts[0] ? parts[0] : Buffer.concat(parts), arrivedAt};
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/connection/caller/index.ts
@@ -0,0 +1,1 @@
+export * from './caller-listener.js';
--- /dev/null
+++ b/packages/daemon/src/connection/caller/request-factory.ts
@@ -0,0 +1,91 @@
+import {randomUUID} from 'node:crypto';
+import {type Contract, type LogPosition, RequestKind} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {
+	type CallerRequest, type CallerSession, parseCommentOptions, type RequestOptions, selectRank,
+} from '../../request/index.js';
+import {type CallerError, SqlState} from './caller-error.js';
+import {checkGroup, type SessionState} from './session-state.js';
+import {type UnitPlan} from './unit-plan.js';
+import {type Unit} from './unit.js';
+
+/** What a request is made of. */
+export type RequestContext = {
+	readonly contract: Contract;
+	readonly configurationVersion: number;
+	readonly user: string;
+	readonly session: SessionState;
+	/** Group of the open transaction. */
+	readonly transactionGroup?: string;
+};
+
+/** Request with the session under which it runs. */
+export type PreparedRequest = {
+	readonly request: CallerRequest;
+	readonly callerSession: CallerSession;
+	readonly usesSessionKey: boolean;
+};
+
+/**
+ * Makes the request of a unit from the contract, the options of the session and the comments of the statements.
+ *
+ * @param unit - Unit of the caller.
+ * @param plan - How the unit is served.
+ * @param context - Contract and session.
+ */
+export function createRequest(unit: Unit, plan: UnitPlan, context: RequestContext): Result<PreparedRequest, CallerError> {
+	const {session, contract} = context;
+	const comments = parseCommentOptions(plan.analyses.flatMap(analysis => analysis.comments));
+	if (comments.isErr()) {
+		return err({code: SqlState.InvalidParameterValue, message: comments.error});
+	}
+
+	const options: RequestOptions = {...session.options, ...comments.value};
+	const checked = checkGroup(comments.value.group, contract);
+	if (checked.isErr()) {
+		return err(checked.error);
+	}
+
+	const rank = options.rank ?? selectRank(contract, {
+		user: context.user,
+		applicationName: session.applicationName,
+		text: plan.analyses.map(analysis => analysis.text).join('\n'),
+	});
+	const terms = contract.ranks[rank];
+	const isWrite = plan.kind === RequestKind.Write;
+	return ok({
+		callerSession: getCallerSession(session.callerSession, comments.value, plan.kind),
+		usesSessionKey: isWrite && options.idempotencyKey !== undefined && comments.value.idempotencyKey === undefined,
+		request: {
+			requestIdentifier: randomUUID(),
+			customer: contract.customer,
+			customerWeight: contract.weight,
+			group: context.transactionGroup ?? comments.value.group ?? session.group,
+			rank,
+			terms,
+			configurationVersion: context.configurationVersion,
+			kind: plan.kind,
+			messages: unit.messages,
+			hiddenParseCompletes: unit.hiddenParseCompletes,
+			beginsTransaction: plan.beginsTransaction,
+			arrivedAt: unit.arrivedAt,
+			// A replica that is behind may lack the table of a write that the caller is about to execute.
+			maximumStalenessMilliseconds: plan.describesWrite
+				? 0
+				: Math.min(terms.maximumStalenessMilliseconds, options.maximumStalenessMilliseconds ?? Infinity),
+			...(isWrite && options.idempotencyKey !== undefined && {idempotencyKey: options.idempotencyKey}),
+			repeatable: options.repeatable ?? terms.repeatable,
+		},
+	});
+}
+
+/** Returns the session with the identifier and the token of the statement. Transactions always use the connection's own. */
+function getCallerSession(session: CallerSession, options: RequestOptions, kind: RequestKind): CallerSession {
+	const hasOwn = options.session !== undefined || options.position !== undefined;
+	if (!hasOwn || kind === RequestKind.Transaction) {
+		return session;
+	}
+
+	const token: LogPosition | undefined = options.position ?? (options.session === undefined ? session.token : undefined);
+	return {identifier: options.session ?? session.identifier, token, floors: session.floors};
+}
--- /dev/null
+++ b/packages/daemon/src/connection/caller/session-state.ts
@@ -0,0 +1,156 @@
+import {type Contract, formatLogPosition} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {
+	getInitialSetting, getOptionKey, isLocalSetting, optionPrefix, parseOption, type RequestOptions, SessionAction, type SessionStatement,
+} from '../../request/index.js';
+import {type CallerSession} from '../../request/caller-request.js';
+import {type CallerError, SqlState} from './caller-error.js';
+
+/** Answer to a statement on a setting. */
+export type SettingAnswer = {
+	readonly tag: string;
+	/** Column and value of a SHOW. */
+	readonly row?: readonly [column: string, value: string];
+};
+
+/** Options and settings of one caller connection. */
+export class SessionState {
+	readonly callerSession: CallerSession = {floors: new Map()};
+	readonly #initialOptions: RequestOptions = {};
+	#options: RequestOptions = {};
+	readonly #settings = new Map<string, string>();
+	readonly #defaultGroup: string;
+
+	/**
+	 * @param defaultGroup - Group that the database name of the start-up message selects.
+	 */
+	constructor(defaultGroup: string) {
+		this.#defaultGroup = defaultGroup;
+	}
+
+	/** Request options in force. */
+	get options(): Readonly<RequestOptions> {
+		return this.#options;
+	}
+
+	/** Group in force. */
+	get group(): string {
+		return this.#options.group ?? this.#defaultGroup;
+	}
+
+	/** Application name that the caller set. */
+	get applicationName(): string {
+		return this.#settings.get('application_name') ?? '';
+	}
+
+	/** Removes the idempotency key after the unit to which it applied. */
+	clearIdempotencyKey(): void {
+		delete this.#options.idempotencyKey;
+	}
+
+	/** Makes the present options those to which RESET returns. */
+	keepAsInitial(): void {
+		Object.assign(this.#initialOptions, this.#options, {idempotencyKey: undefined});
+	}
+
+	/**
+	 * Applies a statement on a setting.
+	 *
+	 * @param statement - Statement that sets, shows or resets a setting.
+	 * @param contract - Contract of the customer.
+	 */
+	apply(statement: SessionStatement, contract: Contract): Result<SettingAnswer, CallerError> {
+		return statement.name.startsWith(optionPrefix)
+			? this.#applyOption(statement, contract)
+			: this.#applySetting(statement);
+	}
+
+	/**
+	 * Checks a statement without applying it.
+	 *
+	 * @param statement - Statement that sets, shows or resets a setting.
+	 * @param contract - Contract of the customer.
+	 */
+	check(statement: SessionStatement, contract: Contract): Result<void, CallerError> {
+		const name = statement.name.slice(optionPrefix.length);
+		if (!statement.name.startsWith(optionPrefix)) {
+			return ok();
+		}
+
+		if (getOptionKey(name) === undefined) {
+			return err({code: SqlState.InvalidParameterValue, message: `unknown request option "${statement.name}"`});
+		}
+
+		if (statement.action !== SessionAction.Set) {
+			return ok();
+		}
+
+		return parseOption(name, statement.value ?? '')
+			.mapErr((message): CallerError => ({code: SqlState.InvalidParameterValue, message}))
+			.andThen(parsed => checkGroup(parsed.group, contract));
+	}
+
+	#applyOption(statement: SessionStatement, contract: Contract): Result<SettingAnswer, CallerError> {
+		return this.check(statement, contract).map(() => {
+			const name = statement.name.slice(optionPrefix.length);
+			const key = getOptionKey(name) ?? 'rank';
+			if (statement.action === SessionAction.Show) {
+				return {tag: 'SHOW', row: [statement.name, this.#showOption(key)]};
+			}
+
+			const {[key]: _removed, ...others} = this.#options;
+			const added = statement.action === SessionAction.Set
+				? parseOption(name, statement.value ?? '').unwrapOr({})
+				: {[key]: this.#initialOptions[key]};
+			this.#options = {...others, ...added};
+			this.callerSession.identifier = this.#options.session;
+			this.callerSession.token = this.#options.position;
+			return {tag: statement.action === SessionAction.Set ? 'SET' : 'RESET'};
+		});
+	}
+
+	#showOption(key: keyof RequestOptions): string {
+		if (key === 'group') {
+			return this.group;
+		}
+
+		if (key === 'position') {
+			const floor = this.callerSession.floors.get(this.group) ?? this.#options.position;
+			return floor ? formatLogPosition(floor) : '';
+		}
+
+		const value = this.#options[key];
+		return typeof value === 'boolean' ? (value ? 'on' : 'off') : String(value ?? '');
+	}
+
+	#applySetting(statement: SessionStatement): Result<SettingAnswer, CallerError> {
+		if (!isLocalSetting(statement)) {
+			return err({code: SqlState.FeatureNotSupported, message: `setting "${statement.name}" to "${statement.value ?? ''}" is not supported`});
+		}
+
+		if (statement.action === SessionAction.Show) {
+			const value = this.#settings.get(statement.name) ?? getInitialSetting(statement.name) ?? '';
+			return ok({tag: 'SHOW', row: [statement.name, value]});
+		}
+
+		if (statement.action === SessionAction.Set) {
+			this.#settings.set(statement.name, statement.value ?? '');
+		} else {
+			this.#settings.delete(statement.name);
+		}
+
+		return ok({tag: statement.action === SessionAction.Set ? 'SET' : 'RESET'});
+	}
+}
+
+/**
+ * Checks that a contract permits a group.
+ *
+ * @param group - Name of the group; `undefined` when none was chosen.
+ * @param contract - Contract of the customer.
+ */
+export function checkGroup(group: string | undefined, contract: Contract): Result<void, CallerError> {
+	return group === undefined || contract.groups.includes(group)
+		? ok()
+		: err({code: SqlState.InvalidParameterValue, message: `the contract does not name the group "${group}"`});
+}
--- a/packages/daemon/src/connection/index.ts
+++ b/packages/daemon/src/connection/index.ts
@@ -1,1 +1,2 @@
 export * from './peer-network.js';
+export * from './caller/index.js';
