--- a/packages/daemon/src/request/index.ts
+++ b/packages/daemon/src/request/index.ts
@@ -5,3 +5,4 @@
 export * from './routing/index.js';
 export * from './scheduling/index.js';
 export * from './failover/index.js';
+export * from './statement/index.js';
