Add failure detection, promotion and the follow reconciler

Cause: no other component initiates promotions, so the hosts must replace failed and leaving primaries. Change: assessGroup classifies a group, PromotionAttempt raises a majority and promotes the greatest position, Promoter waits for the stagger and restarts after event-loop gaps, FollowReconciler makes members follow and counts lost entries.

--- /dev/null
+++ b/packages/daemon/src/request/failover/follow-reconciler.ts
@@ -0,0 +1,123 @@
+import {
+	type GroupDefinition, type InstanceDefinition, type Logger, MetricName, type Metrics, type TimerService,
+} from '@tarragonstack/core';
+import {InstanceRole, type InstanceStatus} from '../group-view.js';
+import {type GroupMonitor} from './group-monitor.js';
+import {type InstanceControl} from './instance-control.js';
+
+/** Time limit of `follow`, in milliseconds. */
+const followTimeoutMilliseconds = 1000;
+
+/** Delay before the first and the longest delay before a further `follow` to the same instance, in milliseconds. */
+const minimumRetryMilliseconds = 200;
+const maximumRetryMilliseconds = 5000;
+
+/** Delay of a host for each place in the promotion order, so that one host usually sends `follow`, in milliseconds. */
+const followStaggerMilliseconds = 500;
+
+type MemberState = {
+	readonly mismatchSince: number;
+	retryMilliseconds: number;
+	notBefore: number;
+};
+
+/** Dependencies of the reconciler. */
+export type FollowReconcilerOptions = {
+	readonly timers: TimerService;
+	readonly monitor: GroupMonitor;
+	readonly metrics: Metrics;
+	readonly logger?: Logger;
+	getControl(instance: string): InstanceControl | undefined;
+};
+
+/** Keeps the members of a group following the primary of the greatest term. */
+export class FollowReconciler {
+	readonly #options: FollowReconcilerOptions;
+	readonly #states = new Map<string, MemberState>();
+
+	/**
+	 * @param options - Dependencies.
+	 */
+	constructor(options: FollowReconcilerOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Sends `follow` to the members that need it.
+	 *
+	 * @param group - Definition of the group.
+	 * @param order - Place of this host in the promotion order.
+	 */
+	reconcile(group: GroupDefinition, order: number): void {
+		const {monitor, timers} = this.#options;
+		const primary = monitor.getPrimary(group.name);
+		const definition = group.instances.find(instance => instance.name === primary?.instance);
+		if (!primary || !definition || monitor.getGreatestTerm(group) > primary.term) {
+			return;
+		}
+
+		const now = timers.now();
+		for (const member of group.instances) {
+			const status = monitor.getStatus(member.name);
+			if (member === definition || !status || isFollowing(status, primary.term, definition.address)) {
+				this.#states.delete(member.name);
+				continue;
+			}
+
+			const state = this.#states.get(member.name)
+				?? {mismatchSince: now, retryMilliseconds: minimumRetryMilliseconds, notBefore: now + (order * followStaggerMilliseconds)};
+			this.#states.set(member.name, state);
+			if (now >= state.notBefore) {
+				state.notBefore = now + state.retryMilliseconds;
+				state.retryMilliseconds = Math.min(maximumRetryMilliseconds, state.retryMilliseconds * 2);
+				void this.#follow(group, member, definition, primary.term);
+			}
+		}
+	}
+
+	/**
+	 * Sends `follow` to all other members at once, after this host promoted an instance.
+	 *
+	 * @param group - Definition of the group.
+	 * @param primary - Name of the new primary.
+	 * @param term - Its term.
+	 */
+	followNewPrimary(group: GroupDefinition, primary: string, term: number): void {
+		const definition = group.instances.find(instance => instance.name === primary);
+		for (const member of group.instances) {
+			if (definition && member !== definition) {
+				void this.#follow(group, member, definition, term);
+			}
+		}
+	}
+
+	async #follow(group: GroupDefinition, member: InstanceDefinition, primary: InstanceDefinition, term: number): Promise<void> {
+		const {monitor, metrics, logger} = this.#options;
+		const answer = await this.#options.getControl(member.name)
+			?.follow(primary.address, term, {timeoutMilliseconds: followTimeoutMilliseconds});
+		if (!answer) {
+			return;
+		}
+
+		if (answer.isErr()) {
+			logger?.warn({group: group.name, instance: member.name, error: answer.error.message}, 'follow failed');
+			return;
+		}
+
+		monitor.observe(group.name, answer.value.status);
+		if (answer.value.truncated > 0) {
+			metrics.increment(MetricName.LostEntries, answer.value.truncated, {group: group.name, instance: member.name});
+			logger?.warn({
+				group: group.name,
+				instance: member.name,
+				primary: primary.name,
+				term,
+				truncated: answer.value.truncated,
+			}, 'log entries that the new primary does not have were discarded');
+		}
+	}
+}
+
+function isFollowing(status: InstanceStatus, term: number, address: string): boolean {
+	return status.role === InstanceRole.Replica && status.term === term && status.primaryAddress === address;
+}
--- /dev/null
+++ b/packages/daemon/src/request/failover/promoter.ts
@@ -0,0 +1,234 @@
+import {randomUUID} from 'node:crypto';
+import {
+	type GroupDefinition, type Logger, MetricName, type Metrics, type TimerService,
+} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {type PrimaryView} from '../group-view.js';
+import {FollowReconciler} from './follow-reconciler.js';
+import {assessGroup, GroupCondition, type GroupKnowledge, hasCloseReplica} from './group-condition.js';
+import {type GroupMonitor} from './group-monitor.js';
+import {type GroupOwnership} from './group-ownership.js';
+import {type InstanceControlDirectory} from './instance-control-directory.js';
+import {PromotionAttempt, PromotionError} from './promotion-attempt.js';
+
+/** Interval between two assessments, in milliseconds. */
+const assessmentIntervalMilliseconds = 25;
+
+/** Gap of the event loop after which the knowledge of this host is out of date, in milliseconds. */
+const eventLoopGapMilliseconds = 200;
+
+/** Delay of a host for each place in the promotion order, in milliseconds. */
+const promotionStaggerMilliseconds = 150;
+
+/** Bounds of the random wait after an attempt that did not succeed, in milliseconds. */
+const minimumRetryMilliseconds = 100;
+const maximumRetryMilliseconds = 400;
+
+/** Time after which a leaving primary is replaced although no replica is close, in milliseconds; leaves 1 s of the 3 s of I7. */
+const leavingPatienceMilliseconds = 2000;
+
+/**
+ * Time for which a condition must last before this host acts, in milliseconds, besides its stagger.
+ *
+ * `PrimaryFailed` has waited in the detection. `NoPrimary` gives a promoter that has just raised a majority the time to
+ * promote. `MinorityAhead` is repaired late, because the primary works and the repair interrupts writes for two round
+ * trips.
+ */
+const conditionDelays: Readonly<Record<GroupCondition, number>> = {
+	[GroupCondition.Healthy]: Number.POSITIVE_INFINITY,
+	[GroupCondition.PrimaryFailed]: 0,
+	[GroupCondition.NoPrimary]: 300,
+	[GroupCondition.MinorityAhead]: 1000,
+	[GroupCondition.PrimaryLeaving]: 0,
+};
+
+type GroupState = {
+	condition: GroupCondition;
+	since: number;
+	notBefore: number;
+	running: boolean;
+};
+
+/** Dependencies of the promoter. */
+export type PromoterOptions = {
+	readonly hostName: string;
+	readonly timers: TimerService;
+	readonly monitor: GroupMonitor;
+	readonly ownership: GroupOwnership;
+	readonly controls: InstanceControlDirectory;
+	readonly metrics: Metrics;
+	readonly logger?: Logger;
+	/** Returns a number from 0 to 1 for the wait after a lost attempt. */
+	readonly random?: () => number;
+};
+
+/** Detects groups without a working primary and promotes an instance. */
+export class Promoter implements Disposable {
+	readonly #options: PromoterOptions;
+	readonly #reconciler: FollowReconciler;
+	readonly #states = new Map<string, GroupState>();
+	readonly #subscription: Disposable;
+	/** Distinguishes this process from an earlier one with the same host name. */
+	readonly #processIdentifier = randomUUID();
+	#attempts = 0;
+	#lastAssessmentAt: number;
+
+	/**
+	 * @param options - Dependencies.
+	 */
+	constructor(options: PromoterOptions) {
+		this.#options = options;
+		const {timers, monitor, metrics, logger} = options;
+		this.#lastAssessmentAt = timers.now();
+		this.#reconciler = new FollowReconciler({
+			timers, monitor, metrics, logger, getControl: instance => options.controls.getControl(instance),
+		});
+		this.#subscription = timers.subscribe(assessmentIntervalMilliseconds, () => {
+			this.#assess();
+		});
+	}
+
+	/**
+	 * Promotes on an operator's request. A working primary is replaced by a planned switchover.
+	 *
+	 * @param groupName - Name of the group.
+	 * @param instance - Instance to promote; without it the best one.
+	 * @returns The new primary.
+	 */
+	async promoteManually(groupName: string, instance?: string): Promise<Result<PrimaryView, PromotionError>> {
+		const group = this.#options.monitor.monitoredGroups.find(({name}) => name === groupName);
+		if (!group || (instance !== undefined && !group.instances.some(({name}) => name === instance))) {
+			return err(PromotionError.UnknownGroup);
+		}
+
+		const state = this.#getState(group.name);
+		if (state.running) {
+			return err(PromotionError.InProgress);
+		}
+
+		const condition = assessGroup(this.#getKnowledge(group));
+		const failed = condition === GroupCondition.PrimaryFailed || condition === GroupCondition.NoPrimary;
+		const result = await this.#promote(group, state, {planned: !failed, requested: instance});
+		return result.andThen(primary => instance === undefined || primary.instance === instance
+			? ok(primary)
+			: err(PromotionError.CandidateBehind));
+	}
+
+	[Symbol.dispose](): void {
+		this.#subscription[Symbol.dispose]();
+	}
+
+	#assess(): void {
+		const {timers, monitor, ownership} = this.#options;
+		const now = timers.now();
+		const gap = now - this.#lastAssessmentAt - assessmentIntervalMilliseconds;
+		this.#lastAssessmentAt = now;
+		if (gap > eventLoopGapMilliseconds) {
+			// Answers may wait unread in the sockets, so the failures of the polls prove nothing.
+			monitor.restartDetection();
+			for (const state of this.#states.values()) {
+				state.condition = GroupCondition.Healthy;
+			}
+
+			return;
+		}
+
+		for (const group of monitor.monitoredGroups) {
+			const order = ownership.getPromotionOrder(group.name);
+			if (order !== undefined) {
+				this.#assessGroup(group, order, now);
+				this.#reconciler.reconcile(group, order);
+			}
+		}
+	}
+
+	#assessGroup(group: GroupDefinition, order: number, now: number): void {
+		const state = this.#getState(group.name);
+		const knowledge = this.#getKnowledge(group);
+		const condition = assessGroup(knowledge);
+		if (condition !== state.condition) {
+			state.condition = condition;
+			state.since = now;
+		}
+
+		const due = state.since + conditionDelays[condition] + (order * promotionStaggerMilliseconds);
+		if (state.running || now < due || now < state.notBefore) {
+			return;
+		}
+
+		const leaving = condition === GroupCondition.PrimaryLeaving;
+		if (leaving && now < state.since + leavingPatienceMilliseconds && !hasCloseReplica(knowledge)) {
+			return;
+		}
+
+		void this.#promote(group, state, {planned: leaving});
+	}
+
+	async #promote(
+		group: GroupDefinition,
+		state: GroupState,
+		request: {readonly planned: boolean; readonly requested?: string},
+	): Promise<Result<PrimaryView, PromotionError>> {
+		const {timers, monitor, controls, hostName, random} = this.#options;
+		this.#attempts++;
+		state.running = true;
+		const present = monitor.getPrimary(group.name)?.instance;
+		const startedAt = timers.now();
+		const term = monitor.getGreatestTerm(group) + 1;
+		const attempt = new PromotionAttempt({
+			timers,
+			group,
+			term,
+			promoter: `${hostName}/${this.#processIdentifier}/${this.#attempts}`,
+			preferences: {
+				requested: request.requested,
+				presentPrimary: present,
+				replacePresentPrimary: request.planned,
+			},
+			switchoverFrom: request.planned && present !== request.requested ? present : undefined,
+			getControl: instance => controls.getControl(instance),
+			onStatus(status) {
+				monitor.observe(group.name, status);
+			},
+		});
+		const result = await attempt.run();
+		const now = timers.now();
+		state.running = false;
+		state.since = now;
+		const wait = minimumRetryMilliseconds
+			+ ((random ?? Math.random)() * (maximumRetryMilliseconds - minimumRetryMilliseconds));
+		state.notBefore = now + wait;
+		return result.map(status => {
+			this.#reconciler.followNewPrimary(group, status.instance, status.term);
+			return {instance: status.instance, term: status.term};
+		}).andTee(primary => {
+			this.#report(group.name, {...primary, previous: present ?? '', milliseconds: now - startedAt});
+		}).orTee(error => {
+			this.#options.logger?.warn({group: group.name, term, error}, 'promotion did not succeed');
+		});
+	}
+
+	#report(group: string, details: {readonly instance: string; readonly term: number; readonly previous: string; readonly milliseconds: number}): void {
+		this.#options.metrics.increment(MetricName.PromotionCount, 1, {group, instance: details.instance});
+		this.#options.logger?.info({group, ...details}, 'instance promoted');
+	}
+
+	#getState(group: string): GroupState {
+		const state = this.#states.get(group)
+			?? {condition: GroupCondition.Healthy, since: this.#options.timers.now(), notBefore: 0, running: false};
+		this.#states.set(group, state);
+		return state;
+	}
+
+	#getKnowledge(group: GroupDefinition): GroupKnowledge {
+		const {monitor, timers} = this.#options;
+		return {
+			group,
+			primary: monitor.getPrimary(group.name),
+			greatestTerm: monitor.getGreatestTerm(group),
+			now: timers.now(),
+			getStatus: instance => monitor.getStatus(instance),
+			getContact: instance => monitor.getContact(instance),
+		};
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/request/failover/promotion-attempt.ts
@@ -0,0 +1,178 @@
+import {
+	compareLogPositions, type GroupDefinition, type LogPosition, type TimerService,
+} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {InstanceRole, type InstanceStatus} from '../group-view.js';
+import {type CandidatePreferences, chooseCandidate} from './candidate-choice.js';
+import {type ControlError, type ControlOutcome, type InstanceControl} from './instance-control.js';
+import {getMajority} from './majority.js';
+
+/** Reason why a promotion did not succeed. */
+export enum PromotionError {
+	/** This host owns no member of the group, or the group does not exist. */
+	UnknownGroup = 'unknown-group',
+	/** Another promotion of this host is in progress. */
+	InProgress = 'in-progress',
+	/** No majority accepted the term. */
+	NoMajority = 'no-majority',
+	/** The chosen instance did not confirm the promotion; another promoter may have raised a greater term. */
+	NotPromoted = 'not-promoted',
+	/** The attempt took so long that its knowledge is out of date. */
+	TooSlow = 'too-slow',
+	/** Another instance was promoted, because the requested one lacks log entries. */
+	CandidateBehind = 'candidate-behind',
+}
+
+/** Time limit of each operation on an instance, in milliseconds. */
+const operationTimeoutMilliseconds = 300;
+
+/** Time to wait for further raised instances once a majority accepted, in milliseconds. */
+const raiseGraceMilliseconds = 20;
+
+/** Duration after which an attempt is given up before `promote`, because the process was probably paused, in milliseconds. */
+const attemptLimitMilliseconds = 1000;
+
+/** Longest wait for a replica to catch up with the primary that was made read-only, in milliseconds. */
+const catchUpLimitMilliseconds = 200;
+
+/** Interval between two questions while a replica catches up, in milliseconds. */
+const catchUpPollMilliseconds = 3;
+
+/** One attempt to promote an instance. */
+export type PromotionAttemptOptions = {
+	readonly timers: TimerService;
+	readonly group: GroupDefinition;
+	/** Term to raise; greater than all known terms. */
+	readonly term: number;
+	/** Name that no other attempt ever uses. */
+	readonly promoter: string;
+	readonly preferences: CandidatePreferences;
+	/** Working primary to replace. It is made read-only first, and the replicas then receive its last entries. */
+	readonly switchoverFrom?: string;
+	getControl(instance: string): InstanceControl | undefined;
+	/** Receives every status. */
+	onStatus(status: InstanceStatus): void;
+};
+
+/**
+ * Raises a term on a majority and promotes the raised instance with the greatest position.
+ *
+ * `promote` is sent to one instance only, and never twice: after a lost answer that instance may be the primary of the
+ * term, so only a greater term may name another one. As the promoter's name is unique, a term has at most one primary.
+ */
+export class PromotionAttempt {
+	readonly #options: PromotionAttemptOptions;
+	readonly #raised = new Map<string, InstanceStatus>();
+	readonly #startedAt: number;
+
+	/**
+	 * @param options - What to promote.
+	 */
+	constructor(options: PromotionAttemptOptions) {
+		this.#options = options;
+		this.#startedAt = options.timers.now();
+	}
+
+	/** Runs the attempt. Returns the status of the new primary. */
+	async run(): Promise<Result<InstanceStatus, PromotionError>> {
+		const {group, preferences, switchoverFrom} = this.#options;
+		if (switchoverFrom !== undefined) {
+			await this.#raise(switchoverFrom);
+			const last = this.#raised.get(switchoverFrom);
+			if (!last) {
+				return err(PromotionError.NoMajority);
+			}
+
+			await this.#waitForReplica(switchoverFrom, last.position);
+		}
+
+		await this.#raiseAll();
+		if (this.#raised.size < getMajority(group.instances.length)) {
+			return err(PromotionError.NoMajority);
+		}
+
+		if (this.#options.timers.now() - this.#startedAt > attemptLimitMilliseconds) {
+			return err(PromotionError.TooSlow);
+		}
+
+		const candidate = chooseCandidate(group, [...this.#raised.values()], preferences);
+		return candidate ? this.#promote(candidate.instance) : err(PromotionError.NoMajority);
+	}
+
+	async #raise(instance: string): Promise<void> {
+		const {term, promoter} = this.#options;
+		const answer = await this.#options.getControl(instance)
+			?.raise(term, promoter, {timeoutMilliseconds: operationTimeoutMilliseconds});
+		const status = this.#takeStatus(answer);
+		if (status?.term === term && status.promoter === promoter) {
+			this.#raised.set(instance, status);
+		}
+	}
+
+	/** Raises the term on the other members. Returns when all answered, or shortly after a majority accepted. */
+	async #raiseAll(): Promise<void> {
+		const {timers, group} = this.#options;
+		const majority = getMajority(group.instances.length);
+		const grace = new AbortController();
+		const others = group.instances.filter(instance => !this.#raised.has(instance.name));
+		const majorityReached = new Promise<void>(resolve => {
+			const raiseOne = async (instance: string): Promise<void> => {
+				await this.#raise(instance);
+				if (this.#raised.size >= majority) {
+					resolve();
+				}
+			};
+
+			void (async () => {
+				await Promise.all(others.map(instance => raiseOne(instance.name)));
+				grace.abort();
+				resolve();
+			})();
+		});
+		await majorityReached;
+		await timers.sleep(raiseGraceMilliseconds, grace.signal);
+	}
+
+	async #waitForReplica(primary: string, position: LogPosition): Promise<void> {
+		const {timers, group, preferences} = this.#options;
+		const candidates = group.instances.filter(instance => instance.name !== primary
+			&& (preferences.requested === undefined ? !instance.leaving : instance.name === preferences.requested));
+		const end = timers.now() + catchUpLimitMilliseconds;
+		while (timers.now() < end) {
+			const answers = await Promise.all(candidates.map(instance => this.#isAt(instance.name, position)));
+			if (answers.includes(true)) {
+				return;
+			}
+
+			await timers.sleep(catchUpPollMilliseconds);
+		}
+	}
+
+	async #isAt(instance: string, position: LogPosition): Promise<boolean> {
+		const answer = await this.#options.getControl(instance)?.status({timeoutMilliseconds: catchUpLimitMilliseconds / 2});
+		if (!answer?.isOk()) {
+			return false;
+		}
+
+		this.#options.onStatus(answer.value);
+		return compareLogPositions(answer.value.position, position) >= 0;
+	}
+
+	async #promote(instance: string): Promise<Result<InstanceStatus, PromotionError>> {
+		const {term, promoter} = this.#options;
+		const answer = await this.#options.getControl(instance)
+			?.promote(term, promoter, {timeoutMilliseconds: operationTimeoutMilliseconds});
+		const status = this.#takeStatus(answer);
+		const promoted = status?.role === InstanceRole.Primary && status.term === term && status.promoter === promoter;
+		return promoted ? ok(status) : err(PromotionError.NotPromoted);
+	}
+
+	#takeStatus(answer: Result<ControlOutcome, ControlError> | undefined): InstanceStatus | undefined {
+		if (!answer?.isOk()) {
+			return undefined;
+		}
+
+		this.#options.onStatus(answer.value.status);
+		return answer.value.status;
+	}
+}
