--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -208,7 +208,7 @@
 		this.#directory.setLeaving();
 		this.#listener.stopAccepting();
 		await this.#listener.drain(this.#settings.shutdownGraceMilliseconds);
-		await this.#executors.drain(this.#settings.shutdownGraceMilliseconds);
+		await this.#executors.drain();
 		await this[Symbol.asyncDispose]();
 		this.#logger.info('shutdown complete');
 	}
