Confirm the primary before a transaction begins

Cause: the statements of a transaction read without a minimum position.

Change: BEGIN takes a read index first and goes to the primary it names.

--- a/packages/daemon/src/request/routing/request-router.ts
+++ b/packages/daemon/src/request/routing/request-router.ts
@@ -321,7 +321,8 @@
 		const {group} = execution.request;
 		while (!execution.signal.aborted && timerService.now() < execution.end) {
 			const known = groupView.getPrimary(group);
-			if (known && known.term > refusedTerm) {
+			// The statements of a transaction read without a minimum position, so its primary is confirmed before it begins.
+			if (known && known.term > refusedTerm && !execution.request.beginsTransaction) {
 				return known;
 			}
 
