--- /dev/null
+++ b/packages/stand-ins/src/instance/database-session.ts
@@ -0,0 +1,421 @@
+import {type Socket} from 'node:net';
+import {once} from 'node:events';
+import {TransactionStatus} from '@tarragonstack/core';
+import {BufferReader} from 'pg-protocol/dist/buffer-reader.js';
+import {backendMessages} from './backend-messages.js';
+import {type InstanceFaults} from './instance-options.js';
+import {SqlError} from './sql-error.js';
+import {StatementKind, type Statement, type Value} from './sql-statement.js';
+import {type ResultColumn, type StatementExecutor, type StatementResult} from './statement-executor.js';
+import {parseStatements} from './statement-parser.js';
+import {type Transaction} from './transaction.js';
+
+/** Unread messages after which the session stops to read from its connection. */
+const maximumQueuedMessages = 1000;
+
+/** Bytes of the code and the length of a message. */
+const messageHeaderBytes = 5;
+
+type Prepared = {
+	readonly statement: Statement;
+	readonly parameterTypes: readonly number[];
+};
+
+type Portal = {
+	readonly statement: Statement;
+	readonly parameters: readonly Value[];
+	/** Rows that an earlier Execute with a row limit left over. */
+	remaining?: StatementResult;
+};
+
+/** Largest number of a parameter in a query. */
+function countParameters(sql: string): number {
+	return Math.max(0, ...[...sql.matchAll(/\$(?<number>\d+)/gv)].map(match => Number(match.groups!.number)));
+}
+
+function toSqlError(error: unknown): SqlError {
+	return error instanceof SqlError ? error : new SqlError('XX000', error instanceof Error ? error.message : String(error));
+}
+
+/** One connection of a client after authentication: reads messages and answers them in order. */
+export class DatabaseSession {
+	readonly #socket: Socket;
+	readonly #executor: StatementExecutor;
+	readonly #faults: InstanceFaults;
+	readonly #messages: Buffer[] = [];
+	readonly #prepared = new Map<string, Prepared>();
+	readonly #portals = new Map<string, Portal>();
+	readonly #output: Buffer[] = [];
+	#input: Buffer = Buffer.alloc(0);
+	#wake: (() => void) | undefined;
+	#isClosed = false;
+	#transaction: Transaction | undefined;
+	#isExplicit = false;
+	#isFailed = false;
+	#skipsUntilSync = false;
+	#dropsConnection = false;
+	#cancel = new AbortController();
+
+	readonly #handlers: Readonly<Record<string, (reader: BufferReader, body: Buffer) => Promise<void> | void>> = {
+		Q: reader => this.#query(reader.cstring()),
+		P: reader => {
+			this.#parse(reader);
+		},
+		B: reader => {
+			this.#bind(reader);
+		},
+		D: reader => {
+			this.#describe(reader);
+		},
+		E: reader => this.#execute(reader),
+		C: reader => {
+			this.#close(reader);
+		},
+		H: () => this.#flush(),
+		S: () => this.#sync(),
+		X: () => {
+			this.#socket.end();
+		},
+	};
+
+	/**
+	 * @param socket - Connection after authentication.
+	 * @param executor - Executes statements.
+	 * @param faults - Faults under test control.
+	 */
+	constructor(socket: Socket, executor: StatementExecutor, faults: InstanceFaults) {
+		this.#socket = socket;
+		this.#executor = executor;
+		this.#faults = faults;
+	}
+
+	/** Cancels the statement in progress. */
+	cancel(): void {
+		this.#cancel.abort();
+	}
+
+	/**
+	 * Takes one whole message.
+	 *
+	 * @param message - Message with its header.
+	 */
+	takeMessage(message: Buffer): void {
+		this.#messages.push(message);
+		this.#wake?.();
+	}
+
+	/** Reads from the connection and serves it until it ends. */
+	async run(): Promise<void> {
+		this.#socket.on('data', (chunk: Buffer) => {
+			this.#takeChunk(chunk);
+		});
+		this.#socket.on('close', () => {
+			this.#isClosed = true;
+			this.#wake?.();
+		});
+		this.#isClosed = this.#socket.destroyed;
+		while (!this.#isClosed) {
+			const message = this.#messages.shift();
+			if (message) {
+				await this.#handle(message);
+			} else {
+				this.#socket.resume();
+				await new Promise<void>(resolve => {
+					this.#wake = resolve;
+				});
+			}
+		}
+
+		this.#rollback();
+	}
+
+	#takeChunk(chunk: Buffer): void {
+		this.#input = this.#input.length === 0 ? chunk : Buffer.concat([this.#input, chunk]);
+		while (this.#input.length >= messageHeaderBytes) {
+			const length = 1 + this.#input.readUInt32BE(1);
+			if (this.#input.length < length) {
+				break;
+			}
+
+			this.takeMessage(this.#input.subarray(0, length));
+			this.#input = this.#input.subarray(length);
+		}
+
+		if (this.#messages.length > maximumQueuedMessages) {
+			this.#socket.pause();
+		}
+	}
+
+	async #handle(message: Buffer): Promise<void> {
+		const code = String.fromCodePoint(message[0]!);
+		if (this.#skipsUntilSync && code !== 'S' && code !== 'X') {
+			return;
+		}
+
+		const handler = this.#handlers[code];
+		const reader = new BufferReader();
+		reader.setBuffer(messageHeaderBytes, message);
+		try {
+			if (!handler) {
+				throw new SqlError('0A000', `messages with the code "${code}" are not supported`);
+			}
+
+			await handler(reader, message);
+		} catch (error: unknown) {
+			this.#fail(toSqlError(error));
+			this.#skipsUntilSync = true;
+		}
+	}
+
+	#send(message: Buffer): void {
+		this.#output.push(message);
+	}
+
+	async #flush(): Promise<void> {
+		const bytes = Buffer.concat(this.#output);
+		this.#output.length = 0;
+		if (this.#dropsConnection) {
+			this.#socket.destroy();
+			return;
+		}
+
+		if (bytes.length > 0 && !this.#socket.destroyed && !this.#socket.write(bytes)) {
+			await Promise.race([once(this.#socket, 'drain'), once(this.#socket, 'close')]).catch(() => {});
+		}
+	}
+
+	get #status(): TransactionStatus {
+		if (!this.#isExplicit) {
+			return TransactionStatus.Idle;
+		}
+
+		return this.#isFailed ? TransactionStatus.Failed : TransactionStatus.InTransaction;
+	}
+
+	#fail(error: SqlError): void {
+		if (this.#isExplicit) {
+			this.#isFailed = true;
+			if (this.#transaction) {
+				this.#executor.rollback(this.#transaction);
+				this.#transaction = undefined;
+			}
+		} else {
+			this.#rollback();
+		}
+
+		this.#send(backendMessages.error(error, 'ERROR'));
+	}
+
+	#rollback(): void {
+		if (this.#transaction) {
+			this.#executor.rollback(this.#transaction);
+		}
+
+		this.#transaction = undefined;
+		this.#isExplicit = false;
+		this.#isFailed = false;
+		this.#portals.clear();
+	}
+
+	#commit(): void {
+		const transaction = this.#transaction;
+		this.#transaction = undefined;
+		this.#isExplicit = false;
+		this.#isFailed = false;
+		if (transaction && this.#executor.commit(transaction) && this.#faults.dropAfterWrites > 0) {
+			this.#faults.dropAfterWrites--;
+			this.#dropsConnection = true;
+		}
+	}
+
+	async #run(statement: Statement, parameters: readonly Value[]): Promise<StatementResult> {
+		if (this.#isFailed && statement.kind !== StatementKind.Rollback && statement.kind !== StatementKind.Commit) {
+			throw new SqlError('25P02', 'current transaction is aborted, commands ignored until end of transaction block');
+		}
+
+		if (statement.kind === StatementKind.Commit || statement.kind === StatementKind.Rollback) {
+			return this.#endTransaction(statement.kind);
+		}
+
+		this.#transaction ??= this.#executor.begin();
+		if (statement.kind === StatementKind.Begin) {
+			this.#isExplicit = true;
+			return {rows: [], tag: 'BEGIN'};
+		}
+
+		this.#cancel = new AbortController();
+		return this.#executor.execute(statement, {transaction: this.#transaction, parameters, signal: this.#cancel.signal});
+	}
+
+	#endTransaction(kind: StatementKind.Commit | StatementKind.Rollback): StatementResult {
+		if (kind === StatementKind.Rollback || this.#isFailed) {
+			this.#rollback();
+			return {rows: [], tag: 'ROLLBACK'};
+		}
+
+		this.#commit();
+		return {rows: [], tag: 'COMMIT'};
+	}
+
+	async #query(sql: string): Promise<void> {
+		try {
+			const statements = parseStatements(sql);
+			for (const [index, statement] of statements.entries()) {
+				if (statement.kind === StatementKind.Empty) {
+					this.#send(backendMessages.emptyQueryResponse());
+					continue;
+				}
+
+				const result = await this.#run(statement, []);
+				// The statements of a query outside a transaction commit together, before the last one is reported complete.
+				if (index === statements.length - 1 && !this.#isExplicit) {
+					this.#commit();
+				}
+
+				this.#sendResult(result);
+			}
+		} catch (error: unknown) {
+			this.#fail(toSqlError(error));
+		}
+
+		this.#send(backendMessages.readyForQuery(this.#status));
+		await this.#flush();
+	}
+
+	#sendResult(result: StatementResult): void {
+		if (result.columns) {
+			this.#send(backendMessages.rowDescription(result.columns));
+		}
+
+		this.#sendRows(result);
+	}
+
+	#sendRows(result: StatementResult): void {
+		for (const row of result.rows) {
+			this.#send(backendMessages.dataRow(row));
+		}
+
+		this.#send(backendMessages.commandComplete(result.tag));
+	}
+
+	#parse(reader: BufferReader): void {
+		const name = reader.cstring();
+		const sql = reader.cstring();
+		const statements = parseStatements(sql);
+		if (statements.length > 1) {
+			throw new SqlError('42601', 'cannot insert multiple commands into a prepared statement');
+		}
+
+		const givenCount = reader.int16();
+		const givenTypes = Array.from({length: givenCount}, () => reader.uint32());
+		const textType = 25;
+		const parameterTypes = Array.from({length: Math.max(givenCount, countParameters(sql))}, (_, index) => givenTypes[index] === 0 ? textType : givenTypes[index] ?? textType);
+		if (name !== '' && this.#prepared.has(name)) {
+			throw new SqlError('42P05', `prepared statement "${name}" already exists`);
+		}
+
+		this.#prepared.set(name, {statement: statements[0]!, parameterTypes});
+		this.#send(backendMessages.parseComplete());
+	}
+
+	#getPrepared(name: string): Prepared {
+		const prepared = this.#prepared.get(name);
+		if (!prepared) {
+			throw new SqlError('26000', `prepared statement "${name}" does not exist`);
+		}
+
+		return prepared;
+	}
+
+	#getPortal(name: string): Portal {
+		const portal = this.#portals.get(name);
+		if (!portal) {
+			throw new SqlError('34000', `portal "${name}" does not exist`);
+		}
+
+		return portal;
+	}
+
+	#bind(reader: BufferReader): void {
+		const portalName = reader.cstring();
+		const prepared = this.#getPrepared(reader.cstring());
+		const formats = Array.from({length: reader.int16()}, () => reader.int16());
+		const parameters = Array.from({length: reader.int16()}, (_, index): Value => {
+			const length = reader.int32();
+			if (length < 0) {
+				return null;
+			}
+
+			const bytes = reader.bytes(length);
+			const isBinary = (formats.length === 1 ? formats[0] : formats[index]) === 1;
+			return isBinary ? String.raw`\x${bytes.toString('hex')}` : bytes.toString('utf8');
+		});
+		if (parameters.length !== prepared.parameterTypes.length) {
+			throw new SqlError('08P01', `bind message supplies ${parameters.length} parameters, but the statement requires ${prepared.parameterTypes.length}`);
+		}
+
+		this.#portals.set(portalName, {statement: prepared.statement, parameters});
+		this.#send(backendMessages.bindComplete());
+	}
+
+	#describe(reader: BufferReader): void {
+		const isPortal = String.fromCodePoint(reader.byte()) === 'P';
+		const name = reader.cstring();
+		let statement: Statement;
+		if (isPortal) {
+			({statement} = this.#getPortal(name));
+		} else {
+			const prepared = this.#getPrepared(name);
+			({statement} = prepared);
+			this.#send(backendMessages.parameterDescription(prepared.parameterTypes));
+		}
+
+		const columns: readonly ResultColumn[] | undefined = this.#executor.describe(statement);
+		this.#send(columns ? backendMessages.rowDescription(columns) : backendMessages.noData());
+	}
+
+	async #execute(reader: BufferReader): Promise<void> {
+		const portal = this.#getPortal(reader.cstring());
+		const limit = reader.int32();
+		if (portal.statement.kind === StatementKind.Empty) {
+			this.#send(backendMessages.emptyQueryResponse());
+			return;
+		}
+
+		const result = portal.remaining ?? await this.#run(portal.statement, portal.parameters);
+		if (limit > 0 && result.rows.length > limit) {
+			portal.remaining = {...result, rows: result.rows.slice(limit)};
+			for (const row of result.rows.slice(0, limit)) {
+				this.#send(backendMessages.dataRow(row));
+			}
+
+			this.#send(backendMessages.portalSuspended());
+			return;
+		}
+
+		this.#sendRows(result);
+	}
+
+	#close(reader: BufferReader): void {
+		const isPortal = String.fromCodePoint(reader.byte()) === 'P';
+		const name = reader.cstring();
+		(isPortal ? this.#portals : this.#prepared).delete(name);
+		this.#send(backendMessages.closeComplete());
+	}
+
+	async #sync(): Promise<void> {
+		this.#skipsUntilSync = false;
+		if (!this.#isExplicit) {
+			try {
+				this.#commit();
+			} catch (error: unknown) {
+				this.#fail(toSqlError(error));
+			}
+
+			this.#portals.clear();
+		}
+
+		this.#send(backendMessages.readyForQuery(this.#status));
+		await this.#flush();
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/instance/index.ts
@@ -0,0 +1,2 @@
+export * from './database-instance.js';
+export type * from './instance-options.js';
--- /dev/null
+++ b/packages/stand-ins/src/instance/replication-client.ts
@@ -0,0 +1,159 @@
+import {connect, type Socket} from 'node:net';
+import {
+	encodeFrame, FrameDecoder, type Logger, type TimerService,
+} from '@tarragonstack/core';
+import {createStartupMessage} from 'pg-gateway';
+import {type InstanceFaults} from './instance-options.js';
+import {type InstanceState} from './instance-state.js';
+import {replicationParameter, type HelloMessage, type PrimaryMessage} from './replication-message.js';
+
+/** Pause before a lost connection to the primary is opened again. */
+const reconnectDelayMilliseconds = 50;
+
+/** Settings of a `ReplicationClient`. */
+export type ReplicationClientOptions = {
+	readonly name: string;
+	readonly localAddress: string;
+	readonly state: InstanceState;
+	readonly faults: InstanceFaults;
+	readonly timerService: TimerService;
+	readonly logger: Logger;
+};
+
+type PendingMessage = {
+	readonly due: number;
+	readonly message: PrimaryMessage;
+};
+
+/** Follows the log of a primary until it is disposed of. */
+export class ReplicationClient implements Disposable {
+	/** Resolves with the number of truncated entries when the logs were first compared. */
+	readonly started: Promise<number>;
+	readonly #options: ReplicationClientOptions;
+	readonly #primaryAddress: string;
+	readonly #abort = new AbortController();
+	readonly #pending: PendingMessage[] = [];
+	#timer: Disposable | undefined;
+	#socket: Socket | undefined;
+	#resolveStarted: ((truncated: number) => void) | undefined;
+
+	/**
+	 * @param primaryAddress - IP address and port of the primary.
+	 * @param options - Settings.
+	 */
+	constructor(primaryAddress: string, options: ReplicationClientOptions) {
+		this.#primaryAddress = primaryAddress;
+		this.#options = options;
+		this.started = new Promise(resolve => {
+			this.#resolveStarted = resolve;
+		});
+		void this.#run();
+	}
+
+	/** @inheritdoc */
+	[Symbol.dispose](): void {
+		this.#abort.abort();
+		this.#timer?.[Symbol.dispose]();
+		this.#pending.length = 0;
+		this.#socket?.destroy();
+	}
+
+	async #run(): Promise<void> {
+		while (!this.#abort.signal.aborted) {
+			await this.#connect();
+			await this.#options.timerService.sleep(reconnectDelayMilliseconds, this.#abort.signal);
+		}
+	}
+
+	async #connect(): Promise<void> {
+		const [host, port] = this.#primaryAddress.split(':');
+		const socket = connect({host: host!, port: Number(port), localAddress: this.#options.localAddress});
+		this.#socket = socket;
+		socket.setNoDelay(true);
+		const decoder = new FrameDecoder();
+		socket.on('connect', () => {
+			socket.write(createStartupMessage({majorVersion: 3, minorVersion: 0, parameters: {user: 'replication', [replicationParameter]: 'on'}}));
+		});
+		socket.on('data', (chunk: Buffer) => {
+			const messages = decoder.push(chunk);
+			if (messages.isErr()) {
+				socket.destroy();
+				return;
+			}
+
+			for (const message of messages.value) {
+				this.#receive(message as PrimaryMessage, socket);
+			}
+		});
+		await new Promise<void>(resolve => {
+			socket.on('error', () => {});
+			socket.on('close', () => {
+				resolve();
+			});
+		});
+	}
+
+	#receive(message: PrimaryMessage, socket: Socket): void {
+		const {state} = this.#options;
+		if (message.kind === 'welcome') {
+			const hello: HelloMessage = {
+				kind: 'hello', name: this.#options.name, term: state.term, marks: state.log.marks, lastIndex: state.position.index,
+			};
+			socket.write(encodeFrame(hello));
+			return;
+		}
+
+		if (this.#abort.signal.aborted || message.kind === 'refused' || message.term < state.term) {
+			socket.destroy();
+			return;
+		}
+
+		state.adoptTerm(message.term);
+		state.notePrimaryMessage();
+		if (message.kind === 'start') {
+			this.#start(message.index, message.markCount);
+		} else if (message.kind === 'records') {
+			this.#delay(message);
+		}
+	}
+
+	#start(index: number, markCount: number): void {
+		const {state, logger} = this.#options;
+		this.#pending.length = 0;
+		const truncated = state.truncate(index, markCount);
+		if (truncated > 0) {
+			logger.warn({truncated, index}, 'removed entries that the primary does not have');
+		}
+
+		this.#resolveStarted?.(truncated);
+	}
+
+	#delay(message: PrimaryMessage): void {
+		const {timerService, faults} = this.#options;
+		this.#pending.push({due: timerService.now() + faults.lagMilliseconds, message});
+		this.#applyDue();
+	}
+
+	#applyDue(): void {
+		const {state, timerService, faults} = this.#options;
+		this.#timer?.[Symbol.dispose]();
+		this.#timer = undefined;
+		while (this.#pending.length > 0) {
+			const {due, message} = this.#pending[0]!;
+			const wait = faults.lagMilliseconds === 0 ? 0 : due - timerService.now();
+			if (wait > 0) {
+				this.#timer = timerService.schedule(wait, () => {
+					this.#applyDue();
+				});
+				return;
+			}
+
+			this.#pending.shift();
+			if (message.kind === 'records') {
+				for (const record of message.records) {
+					state.appendRecord(record);
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/instance/replication-server.ts
@@ -0,0 +1,152 @@
+import {type Socket} from 'node:net';
+import {
+	encodeFrame, FrameDecoder, type Logger, type TimerService,
+} from '@tarragonstack/core';
+import {type InstanceFaults} from './instance-options.js';
+import {InstanceRole, type InstanceState} from './instance-state.js';
+import {type HelloMessage, type PrimaryMessage} from './replication-message.js';
+
+/** Interval of the messages that show a replica that its primary lives. */
+const keepAliveIntervalMilliseconds = 20;
+
+/** Entries in one message; keeps a message well below the frame limit. */
+const maximumEntriesPerMessage = 100;
+
+/** Bytes that may wait in a socket before the server stops to send records to it. */
+const maximumBufferedBytes = 262_144;
+
+type Follower = {
+	readonly socket: Socket;
+	index: number;
+	markCount: number;
+};
+
+/** Sends the log to the replicas while the instance is the primary. */
+export class ReplicationServer implements Disposable {
+	readonly #state: InstanceState;
+	readonly #faults: InstanceFaults;
+	readonly #logger: Logger;
+	readonly #followers = new Map<Socket, Follower>();
+	readonly #subscriptions: Disposable[];
+
+	/**
+	 * @param state - State of the instance.
+	 * @param faults - Faults under test control.
+	 * @param timerService - Interval of keep-alives.
+	 * @param logger - Receives refused replicas.
+	 */
+	constructor(state: InstanceState, faults: InstanceFaults, timerService: TimerService, logger: Logger) {
+		this.#state = state;
+		this.#faults = faults;
+		this.#logger = logger;
+		this.#subscriptions = [
+			state.subscribeToRecords(() => {
+				for (const follower of this.#followers.values()) {
+					this.#sendRecords(follower);
+				}
+			}),
+			state.subscribeToRole(() => {
+				if (state.role !== InstanceRole.Primary) {
+					this.#closeAll();
+				}
+			}),
+			timerService.subscribe(keepAliveIntervalMilliseconds, () => {
+				for (const follower of this.#followers.values()) {
+					this.#send(follower.socket, {kind: 'keep-alive', term: state.term});
+				}
+			}),
+		];
+	}
+
+	/**
+	 * Serves a replica.
+	 *
+	 * @param socket - Connection after the start-up message.
+	 */
+	serve(socket: Socket): void {
+		const decoder = new FrameDecoder();
+		socket.on('data', (chunk: Buffer) => {
+			const messages = decoder.push(chunk);
+			if (messages.isErr()) {
+				socket.destroy();
+				return;
+			}
+
+			for (const message of messages.value) {
+				this.#start(socket, message as HelloMessage);
+			}
+		});
+		this.#send(socket, {kind: 'welcome', term: this.#state.term});
+		socket.resume();
+		socket.on('close', () => {
+			this.#followers.delete(socket);
+		});
+		socket.on('drain', () => {
+			const follower = this.#followers.get(socket);
+			if (follower) {
+				this.#sendRecords(follower);
+			}
+		});
+	}
+
+	/** @inheritdoc */
+	[Symbol.dispose](): void {
+		for (const subscription of this.#subscriptions) {
+			subscription[Symbol.dispose]();
+		}
+
+		this.#closeAll();
+	}
+
+	#start(socket: Socket, hello: HelloMessage): void {
+		if (hello.term > this.#state.term && !this.#faults.ignoreReplicationLoss) {
+			this.#logger.warn({replica: hello.name, term: hello.term}, 'a replica has a newer term; the instance stops to lead');
+			this.#state.raise(hello.term, '');
+		}
+
+		if (this.#state.role !== InstanceRole.Primary || hello.term > this.#state.term) {
+			this.#send(socket, {kind: 'refused', term: this.#state.term});
+			socket.end();
+			return;
+		}
+
+		const prefix = this.#state.log.getCommonPrefix(hello.marks, hello.lastIndex);
+		const follower: Follower = {socket, index: prefix.index, markCount: prefix.markCount};
+		this.#followers.set(socket, follower);
+		this.#send(socket, {kind: 'start', term: this.#state.term, ...prefix});
+		this.#sendRecords(follower);
+	}
+
+	#sendRecords(follower: Follower): void {
+		while (follower.socket.writableLength < maximumBufferedBytes) {
+			const records = this.#state.log.getRecords(follower.index, follower.markCount, maximumEntriesPerMessage);
+			if (records.length === 0) {
+				return;
+			}
+
+			for (const record of records) {
+				if (record.kind === 'entry') {
+					follower.index = record.index;
+				} else {
+					follower.markCount++;
+				}
+			}
+
+			this.#send(follower.socket, {kind: 'records', term: this.#state.term, records});
+		}
+	}
+
+	#send(socket: Socket, message: PrimaryMessage): void {
+		if (socket.writable) {
+			socket.write(encodeFrame(message));
+		}
+	}
+
+	#closeAll(): void {
+		for (const socket of this.#followers.keys()) {
+			socket.destroy();
+		}
+
+		this.#followers.clear();
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/key-value/index.ts
@@ -0,0 +1,1 @@
+export * from './key-value-server.js';
--- /dev/null
+++ b/packages/stand-ins/src/key-value/key-value-server.ts
@@ -0,0 +1,294 @@
+import {SystemTimerService} from '@tarragonstack/core';
+import {HttpEndpoint, HttpError, type HttpCall} from '../process/index.js';
+import {isInRange, KeyValueStore, type StoreEvent, type StoredEntry} from './key-value-store.js';
+import {TokenBucket} from './token-bucket.js';
+
+/** Greatest size of a value, in bytes. */
+const maximumValueBytes = 1_000_000;
+
+/** Interval at which expired leases are ended. */
+const leaseCheckIntervalMilliseconds = 100;
+
+/** Behaviour of the service while it is down. */
+enum Outage {
+	None = 'none',
+	/** Calls fail at once with 503. */
+	Refuse = 'refuse',
+	/** Calls get no reply, and watches fall silent. */
+	Hang = 'hang',
+}
+
+/** Settings of a `KeyValueServer`. */
+export type KeyValueOptions = {
+	readonly address: string;
+	readonly port: number;
+	readonly readsPerSecond: number;
+	readonly writesPerSecond: number;
+};
+
+type Json = Readonly<Record<string, unknown>>;
+
+function getField(object: Json, snakeCase: string, camelCase: string): unknown {
+	return object[snakeCase] ?? object[camelCase];
+}
+
+function getText(object: Json, snakeCase: string, camelCase = snakeCase): string | undefined {
+	const value = getField(object, snakeCase, camelCase);
+	return typeof value === 'string' || typeof value === 'number' ? String(value) : undefined;
+}
+
+/** Substitute of etcd: the part of its v3 JSON API that the product uses, with faults. */
+export class KeyValueServer implements AsyncDisposable {
+	readonly #options: KeyValueOptions;
+	readonly #timerService = new SystemTimerService();
+	readonly #store = new KeyValueStore(() => this.#timerService.now());
+	readonly #endpoint = new HttpEndpoint(call => this.#handle(call));
+	readonly #leaseCheck: Disposable;
+	readonly #calls: Record<string, number> = {};
+	readonly #reads: TokenBucket;
+	readonly #writes: TokenBucket;
+	#outage = Outage.None;
+	#delayMilliseconds = 0;
+	#loseWriteReplies = 0;
+	#staleChanges = 0;
+
+	readonly #routes: Readonly<Record<string, {readonly isWrite: boolean; run(body: Json): Json}>> = {
+		'/v3/kv/range': {isWrite: false, run: body => this.#range(body, true)},
+		'/v3/kv/put': {isWrite: true, run: body => this.#put(body)},
+		'/v3/kv/deleterange': {isWrite: true, run: body => this.#delete(body)},
+		'/v3/kv/txn': {isWrite: true, run: body => this.#transact(body)},
+		'/v3/lease/grant': {isWrite: true, run: body => this.#grant(body)},
+		'/v3/lease/keepalive': {isWrite: true, run: body => this.#keepAlive(body)},
+		'/v3/lease/revoke': {isWrite: true, run: body => this.#revoke(body)},
+	};
+
+	/** @param options - Settings. */
+	constructor(options: KeyValueOptions) {
+		this.#options = options;
+		this.#reads = new TokenBucket(options.readsPerSecond, this.#timerService.now());
+		this.#writes = new TokenBucket(options.writesPerSecond, this.#timerService.now());
+		this.#leaseCheck = this.#timerService.subscribe(leaseCheckIntervalMilliseconds, () => {
+			this.#store.expireLeases();
+		});
+	}
+
+	/** Starts to listen. */
+	async listen(): Promise<string> {
+		return this.#endpoint.listen(this.#options.address, this.#options.port);
+	}
+
+	/** @inheritdoc */
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#leaseCheck[Symbol.dispose]();
+		await this.#endpoint[Symbol.asyncDispose]();
+	}
+
+	async #handle(call: HttpCall): Promise<unknown> {
+		if (call.path === '/control') {
+			return this.#control(call);
+		}
+
+		if (call.path === '/status') {
+			return {
+				calls: this.#calls, revision: this.#store.revision, outage: this.#outage, delayMilliseconds: this.#delayMilliseconds,
+			};
+		}
+
+		this.#calls[call.path] = (this.#calls[call.path] ?? 0) + 1;
+		if (call.path === '/v3/watch' && this.#outage === Outage.None) {
+			await this.#watch(call);
+			return undefined;
+		}
+
+		const route = this.#routes[call.path];
+		if (!route) {
+			throw new HttpError(404, {error: 'Not Found', code: 5, message: 'Not Found'});
+		}
+
+		if (this.#outage === Outage.Hang) {
+			return undefined;
+		}
+
+		if (this.#outage === Outage.Refuse) {
+			throw new HttpError(503, {error: 'etcdserver: no leader', code: 14, message: 'etcdserver: no leader'});
+		}
+
+		if (!(route.isWrite ? this.#writes : this.#reads).take(this.#timerService.now())) {
+			throw new HttpError(429, {error: 'etcdserver: too many requests', code: 8, message: 'etcdserver: too many requests'});
+		}
+
+		if (this.#delayMilliseconds > 0) {
+			await this.#timerService.sleep(this.#delayMilliseconds);
+		}
+
+		const result = route.run(call.body);
+		if (route.isWrite && this.#loseWriteReplies > 0) {
+			this.#loseWriteReplies--;
+			call.response.destroy();
+			return undefined;
+		}
+
+		return result;
+	}
+
+	#control(call: HttpCall): Json {
+		const {body} = call;
+		this.#outage = Object.values(Outage).find(value => value === body.outage) ?? this.#outage;
+		this.#delayMilliseconds = Number(body.delayMilliseconds ?? this.#delayMilliseconds);
+		this.#loseWriteReplies = Number(body.loseWriteReplies ?? this.#loseWriteReplies);
+		this.#staleChanges = Number(body.staleChanges ?? this.#staleChanges);
+		if (body.readsPerSecond !== undefined) {
+			this.#reads.setRate(Number(body.readsPerSecond));
+		}
+
+		if (body.writesPerSecond !== undefined) {
+			this.#writes.setRate(Number(body.writesPerSecond));
+		}
+
+		return {
+			outage: this.#outage, delayMilliseconds: this.#delayMilliseconds, loseWriteReplies: this.#loseWriteReplies, staleChanges: this.#staleChanges,
+		};
+	}
+
+	get #header(): Json {
+		return {
+			cluster_id: '1', member_id: '1', revision: String(this.#store.revision), raft_term: '1',
+		};
+	}
+
+	#range(body: Json, mayBeStale: boolean): Json {
+		const key = getText(body, 'key') ?? '';
+		const rangeEnd = getText(body, 'range_end', 'rangeEnd');
+		const entries = this.#store.getRange(key, rangeEnd);
+		const kvs = mayBeStale && this.#staleChanges > 0
+			? entries.map(entry => this.#store.getOld(entry.key, this.#staleChanges)).filter(entry => entry !== undefined)
+			: entries;
+		const limit = Number(getText(body, 'limit') ?? 0);
+		return {header: this.#header, ...(kvs.length > 0 && {kvs: limit > 0 ? kvs.slice(0, limit) : kvs}), count: String(kvs.length)};
+	}
+
+	#getPut(body: Json): {key: string; value: string; lease?: string} {
+		const value = getText(body, 'value') ?? '';
+		if (Buffer.byteLength(value, 'base64') > maximumValueBytes) {
+			throw new HttpError(400, {error: 'etcdserver: request is too large', code: 3, message: 'etcdserver: request is too large'});
+		}
+
+		const lease = getText(body, 'lease');
+		return {key: getText(body, 'key') ?? '', value, ...(lease !== undefined && {lease})};
+	}
+
+	#put(body: Json): Json {
+		this.#store.apply([this.#getPut(body)]);
+		return {header: this.#header};
+	}
+
+	#delete(body: Json): Json {
+		const entries = this.#store.getRange(getText(body, 'key') ?? '', getText(body, 'range_end', 'rangeEnd'));
+		this.#store.apply(entries.map(({key}) => ({key})));
+		return {header: this.#header, deleted: String(entries.length)};
+	}
+
+	#transact(body: Json): Json {
+		const compares = (body.compare ?? []) as readonly Json[];
+		const succeeded = compares.every(compare => this.#compare(compare));
+		const operations = (body[succeeded ? 'success' : 'failure'] ?? []) as readonly Json[];
+		const puts = operations.map(operation => getField(operation, 'request_put', 'requestPut') as Json | undefined);
+		const deletes = operations.map(operation => getField(operation, 'request_delete_range', 'requestDeleteRange') as Json | undefined);
+		const deleted = deletes.map(operation => operation
+			? this.#store.getRange(getText(operation, 'key') ?? '', getText(operation, 'range_end', 'rangeEnd')).map(({key}) => ({key}))
+			: []);
+		this.#store.apply([...puts.filter(put => put !== undefined).map(put => this.#getPut(put)), ...deleted.flat()]);
+		const responses = operations.map((operation, index) => {
+			if (puts[index]) {
+				return {response_put: {header: this.#header}};
+			}
+
+			if (deletes[index]) {
+				return {response_delete_range: {header: this.#header, deleted: String(deleted[index]!.length)}};
+			}
+
+			return {response_range: this.#range(getField(operation, 'request_range', 'requestRange') as Json, false)};
+		});
+		return {header: this.#header, ...(succeeded && {succeeded}), responses};
+	}
+
+	#compare(compare: Json): boolean {
+		const entry = this.#store.get(getText(compare, 'key') ?? '');
+		const target = getText(compare, 'target') ?? 'VERSION';
+		const fields: Readonly<Record<string, keyof StoredEntry>> = {
+			VERSION: 'version', CREATE: 'create_revision', MOD: 'mod_revision', VALUE: 'value',
+		};
+		const field = fields[target];
+		if (!field) {
+			throw new HttpError(400, {error: `unknown compare target ${target}`, code: 3});
+		}
+
+		const camelCase = field.replace(/_(?<letter>[a-z])/v, (_, letter: string) => letter.toUpperCase());
+		if (field === 'value') {
+			return this.#holds(getText(compare, 'result'), entry?.value === getText(compare, 'value') ? 0 : 1);
+		}
+
+		return this.#holds(getText(compare, 'result'), Number(entry?.[field] ?? 0) - Number(getText(compare, field, camelCase) ?? 0));
+	}
+
+	#holds(result: string | undefined, difference: number): boolean {
+		const holds: Readonly<Record<string, boolean>> = {GREATER: difference > 0, LESS: difference < 0, NOT_EQUAL: difference !== 0};
+		return holds[result ?? 'EQUAL'] ?? difference === 0;
+	}
+
+	#grant(body: Json): Json {
+		const ttl = Number(getText(body, 'TTL') ?? 0);
+		return {header: this.#header, ID: this.#store.grantLease(ttl, getText(body, 'ID')), TTL: String(ttl)};
+	}
+
+	#keepAlive(body: Json): Json {
+		const identifier = getText(body, 'ID') ?? '';
+		return {result: {header: this.#header, ID: identifier, TTL: String(this.#store.keepLeaseAlive(identifier))}};
+	}
+
+	#revoke(body: Json): Json {
+		if (!this.#store.revokeLease(getText(body, 'ID') ?? '')) {
+			throw new HttpError(404, {error: 'etcdserver: requested lease not found', code: 5, message: 'etcdserver: requested lease not found'});
+		}
+
+		return {header: this.#header};
+	}
+
+	async #watch(call: HttpCall): Promise<void> {
+		const request = (getField(call.body, 'create_request', 'createRequest') ?? {}) as Json;
+		const key = getText(request, 'key') ?? '';
+		const rangeEnd = getText(request, 'range_end', 'rangeEnd');
+		const startRevision = Number(getText(request, 'start_revision', 'startRevision') ?? 0);
+		const {response} = call;
+		response.writeHead(200, {'content-type': 'application/json'});
+		const send = async (events: readonly StoreEvent[]) => {
+			const matching = events.filter(({entry}) => isInRange(entry.key, key, rangeEnd));
+			if (this.#delayMilliseconds > 0) {
+				await this.#timerService.sleep(this.#delayMilliseconds);
+			}
+
+			if (matching.length > 0 && this.#outage === Outage.None) {
+				response.write(`${JSON.stringify({
+					result: {
+						header: this.#header,
+						events: matching.map(({type, entry}) => ({...(type === 'DELETE' && {type}), kv: entry})),
+					},
+				})}\n`);
+			} else if (matching.length > 0) {
+				response.destroy();
+			}
+		};
+
+		response.write(`${JSON.stringify({result: {header: this.#header, created: true}})}\n`);
+		if (startRevision > 0) {
+			await send(this.#store.events.filter(({revision}) => revision >= startRevision));
+		}
+
+		const subscription = this.#store.subscribe(events => {
+			void send(events);
+		});
+		response.on('close', () => {
+			subscription[Symbol.dispose]();
+		});
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/key-value/token-bucket.ts
@@ -0,0 +1,47 @@
+/** Limits the rate of calls; a burst of a fifth of a second is permitted. */
+export class TokenBucket {
+	#ratePerSecond: number;
+	#tokens: number;
+	#time: number;
+
+	/**
+	 * @param ratePerSecond - Permitted calls per second; `Infinity` for no limit.
+	 * @param now - Present time in milliseconds.
+	 */
+	constructor(ratePerSecond: number, now: number) {
+		this.#ratePerSecond = ratePerSecond;
+		this.#tokens = Math.max(1, ratePerSecond / 5);
+		this.#time = now;
+	}
+
+	/**
+	 * Changes the rate.
+	 *
+	 * @param value - Permitted calls per second.
+	 */
+	setRate(value: number): void {
+		this.#ratePerSecond = value;
+	}
+
+	/**
+	 * Takes one call.
+	 *
+	 * @param now - Present time in milliseconds.
+	 * @returns Whether the call is within the rate.
+	 */
+	take(now: number): boolean {
+		if (this.#ratePerSecond === Infinity) {
+			return true;
+		}
+
+		const burst = Math.max(1, this.#ratePerSecond / 5);
+		this.#tokens = Math.min(burst, this.#tokens + ((now - this.#time) * this.#ratePerSecond / 1000));
+		this.#time = now;
+		if (this.#tokens < 1) {
+			return false;
+		}
+
+		this.#tokens--;
+		return true;
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/membership/index.ts
@@ -0,0 +1,1 @@
+export * from './membership-server.js';
--- /dev/null
+++ b/packages/stand-ins/src/membership/membership-server.ts
@@ -0,0 +1,137 @@
+import {SystemTimerService} from '@tarragonstack/core';
+import {HttpEndpoint, HttpError, type HttpCall} from '../process/index.js';
+
+/** Path of the health queries; the name of the service follows. */
+const healthPath = '/v1/health/service/';
+
+/** Path of the removal of a service; its identifier follows. */
+const deregisterPath = '/v1/agent/service/deregister/';
+
+/** Settings of a `MembershipServer`. */
+export type MembershipOptions = {
+	readonly address: string;
+	readonly port: number;
+	/** Time until a change becomes visible. */
+	readonly lagMilliseconds: number;
+};
+
+type Service = {
+	readonly ID: string;
+	readonly Service: string;
+	readonly Address: string;
+	readonly Port: number;
+	readonly Meta: Readonly<Record<string, unknown>>;
+};
+
+/** Substitute of Consul: service registration and the health query, with a set lag. */
+export class MembershipServer implements AsyncDisposable {
+	readonly #options: MembershipOptions;
+	readonly #timerService = new SystemTimerService();
+	readonly #endpoint = new HttpEndpoint(call => this.#handle(call));
+	readonly #services = new Map<string, Service>();
+	readonly #pending = new Set<Disposable>();
+	#lagMilliseconds: number;
+	#isDown = false;
+	#index = 1;
+	#calls = 0;
+
+	/** @param options - Settings. */
+	constructor(options: MembershipOptions) {
+		this.#options = options;
+		this.#lagMilliseconds = options.lagMilliseconds;
+	}
+
+	/** Starts to listen. */
+	async listen(): Promise<string> {
+		return this.#endpoint.listen(this.#options.address, this.#options.port);
+	}
+
+	/** @inheritdoc */
+	async [Symbol.asyncDispose](): Promise<void> {
+		for (const pending of this.#pending) {
+			pending[Symbol.dispose]();
+		}
+
+		await this.#endpoint[Symbol.asyncDispose]();
+	}
+
+	#handle(call: HttpCall): unknown {
+		if (call.path === '/control') {
+			this.#lagMilliseconds = Number(call.body.lagMilliseconds ?? this.#lagMilliseconds);
+			this.#isDown = Boolean(call.body.outage ?? this.#isDown);
+			return {lagMilliseconds: this.#lagMilliseconds, outage: this.#isDown};
+		}
+
+		if (call.path === '/status') {
+			return {calls: this.#calls, services: [...this.#services.values()]};
+		}
+
+		this.#calls++;
+		if (this.#isDown) {
+			throw new HttpError(500, {error: 'No cluster leader'});
+		}
+
+		if (call.method === 'GET' && call.path.startsWith(healthPath)) {
+			return this.#getHealth(call, call.path.slice(healthPath.length));
+		}
+
+		if (call.method === 'PUT' && call.path === '/v1/agent/service/register') {
+			return this.#register(call.body);
+		}
+
+		if (call.method === 'PUT' && call.path.startsWith(deregisterPath)) {
+			return this.#change(decodeURIComponent(call.path.slice(deregisterPath.length)));
+		}
+
+		throw new HttpError(404, {error: `no ${call.method} ${call.path}`});
+	}
+
+	#getHealth(call: HttpCall, name: string): unknown {
+		call.response.setHeader('x-consul-index', String(this.#index));
+		return [...this.#services.values()].filter(service => service.Service === name).map(service => ({
+			Node: {Node: service.ID, Address: service.Address},
+			Service: service,
+			Checks: [{CheckID: `service:${service.ID}`, Status: 'passing'}],
+		}));
+	}
+
+	#register(body: Readonly<Record<string, unknown>>): unknown {
+		if (typeof body.Name !== 'string') {
+			throw new HttpError(400, {error: 'Missing service name'});
+		}
+
+		const identifier = typeof body.ID === 'string' ? body.ID : body.Name;
+		return this.#change(identifier, {
+			ID: identifier,
+			Service: body.Name,
+			Address: String(body.Address),
+			Port: Number(body.Port),
+			Meta: (body.Meta ?? {}) as Record<string, unknown>,
+		});
+	}
+
+	/** Makes a change visible after the lag. Changes keep their order as long as the lag does not change. */
+	#change(identifier: string, service?: Service): unknown {
+		const apply = () => {
+			if (service) {
+				this.#services.set(identifier, service);
+			} else {
+				this.#services.delete(identifier);
+			}
+
+			this.#index++;
+		};
+
+		if (this.#lagMilliseconds === 0) {
+			apply();
+		} else {
+			const pending = this.#timerService.schedule(this.#lagMilliseconds, () => {
+				this.#pending.delete(pending);
+				apply();
+			});
+			this.#pending.add(pending);
+		}
+
+		return {};
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/process/index.ts
@@ -0,0 +1,2 @@
+export * from './http-endpoint.js';
+export * from './lifecycle.js';
--- /dev/null
+++ b/packages/stand-ins/src/relay/index.ts
@@ -0,0 +1,2 @@
+export * from './relay.js';
+export type * from './rule.js';
--- /dev/null
+++ b/packages/stand-ins/src/relay/relay.ts
@@ -0,0 +1,203 @@
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {HttpEndpoint, HttpError, type HttpCall} from '../process/index.js';
+import {RelayedConnection} from './relayed-connection.js';
+import {
+	combineRules, matches, type Endpoint, type Rule, type Selector,
+} from './rule.js';
+
+/** Settings of a `Relay`. */
+export type RelayOptions = {
+	readonly address: string;
+	readonly port: number;
+};
+
+type Destination = Endpoint & {
+	target: string;
+	readonly server: Server;
+	readonly listenAddress: string;
+};
+
+type Json = Readonly<Record<string, unknown>>;
+
+function getTextOrThrow(body: Json, field: string): string {
+	const value = body[field];
+	if (typeof value !== 'string' || value === '') {
+		throw new HttpError(400, {error: `"${field}" is missing`});
+	}
+
+	return value;
+}
+
+function toSelector(value: unknown): Selector {
+	const {name, zone} = (value ?? {}) as Json;
+	return {...(typeof name === 'string' && {name}), ...(typeof zone === 'string' && {zone})};
+}
+
+/** Network relay between the processes of a test: delays, partitions and resets by source and destination. */
+export class Relay implements AsyncDisposable {
+	readonly #options: RelayOptions;
+	readonly #endpoint = new HttpEndpoint(call => this.#handle(call));
+	readonly #destinations = new Map<string, Destination>();
+	readonly #sources = new Map<string, Endpoint>();
+	readonly #rules = new Map<string, Rule>();
+	readonly #connections = new Set<RelayedConnection>();
+	#nextRule = 1;
+
+	/** @param options - Settings. */
+	constructor(options: RelayOptions) {
+		this.#options = options;
+	}
+
+	/** Starts the HTTP control. */
+	async listen(): Promise<string> {
+		return this.#endpoint.listen(this.#options.address, this.#options.port);
+	}
+
+	/** @inheritdoc */
+	async [Symbol.asyncDispose](): Promise<void> {
+		for (const {server} of this.#destinations.values()) {
+			server.close();
+		}
+
+		for (const connection of this.#connections) {
+			connection.reset();
+		}
+
+		await this.#endpoint[Symbol.asyncDispose]();
+	}
+
+	#handle(call: HttpCall): unknown {
+		const {method, path, body} = call;
+		const handlers: Readonly<Record<string, () => unknown>> = {
+			'POST /destinations': () => this.#addDestination(body),
+			'POST /sources': () => this.#addSource(body),
+			'POST /rules': () => this.#addRules(body),
+			'DELETE /rules': () => this.#removeRules([...this.#rules.keys()]),
+			'POST /reset': () => this.#reset(body),
+			'GET /status': () => this.#getStatus(),
+		};
+		const handler = handlers[`${method} ${path}`];
+		if (handler) {
+			return handler();
+		}
+
+		if (method === 'DELETE' && path.startsWith('/rules/')) {
+			return this.#removeRules(path.slice('/rules/'.length).split(','));
+		}
+
+		throw new HttpError(404, {error: `no ${method} ${path}`});
+	}
+
+	/** Adds a destination, or changes the target of the one with the same name and keeps its listening address. */
+	async #addDestination(body: Json): Promise<Json> {
+		const name = getTextOrThrow(body, 'name');
+		const zone = getTextOrThrow(body, 'zone');
+		const target = getTextOrThrow(body, 'address');
+		const existing = this.#destinations.get(name);
+		if (existing) {
+			existing.target = target;
+			return {address: existing.listenAddress};
+		}
+
+		const server = createServer({allowHalfOpen: true, pauseOnConnect: true}, socket => {
+			this.#accept(socket, destination);
+		});
+		server.listen(0, this.#options.address, 1024);
+		await once(server, 'listening');
+		const listenAddress = `${this.#options.address}:${(server.address() as AddressInfo).port}`;
+		const destination: Destination = {
+			name, zone, target, server, listenAddress,
+		};
+		this.#destinations.set(name, destination);
+		return {address: listenAddress};
+	}
+
+	#addSource(body: Json): Json {
+		this.#sources.set(getTextOrThrow(body, 'address'), {name: getTextOrThrow(body, 'name'), zone: getTextOrThrow(body, 'zone')});
+		return {};
+	}
+
+	#addRules(body: Json): Json {
+		const source = toSelector(body.source);
+		const destination = toSelector(body.destination);
+		const identifiers = [this.#addRule(source, destination, body)];
+		if (body.bothWays === true) {
+			identifiers.push(this.#addRule(destination, source, body));
+		}
+
+		this.#update();
+		return {identifiers};
+	}
+
+	#addRule(source: Selector, destination: Selector, body: Json): string {
+		const identifier = String(this.#nextRule++);
+		this.#rules.set(identifier, {
+			identifier,
+			source,
+			destination,
+			delayMilliseconds: Number(body.delayMilliseconds ?? 0),
+			isPartition: body.partition === true,
+			...(body.resetAfterResponseBytes !== undefined && {resetAfterResponseBytes: Number(body.resetAfterResponseBytes)}),
+		});
+		return identifier;
+	}
+
+	#removeRules(identifiers: readonly string[]): Json {
+		let removed = 0;
+		for (const identifier of identifiers) {
+			removed += this.#rules.delete(identifier) ? 1 : 0;
+		}
+
+		this.#update();
+		return {removed};
+	}
+
+	/** Resets the connections from the source to the destination. */
+	#reset(body: Json): Json {
+		const source = toSelector(body.source);
+		const destination = toSelector(body.destination);
+		let count = 0;
+		for (const connection of this.#connections) {
+			if (matches(source, connection.source) && matches(destination, connection.destination)) {
+				connection.reset();
+				count++;
+			}
+		}
+
+		return {reset: count};
+	}
+
+	#update(): void {
+		for (const connection of this.#connections) {
+			connection.update();
+		}
+	}
+
+	#getStatus(): Json {
+		return {
+			connections: this.#connections.size,
+			rules: [...this.#rules.values()],
+			destinations: [...this.#destinations.values()].map(({name, zone, target, listenAddress}) => ({
+				name, zone, target, listenAddress,
+			})),
+			sources: [...this.#sources].map(([address, source]) => ({address, ...source})),
+		};
+	}
+
+	#accept(client: Socket, destination: Destination): void {
+		const address = client.remoteAddress ?? '';
+		const connection: RelayedConnection = new RelayedConnection({
+			client,
+			source: this.#sources.get(address) ?? {name: address, zone: ''},
+			destination,
+			target: destination.target,
+			localAddress: this.#options.address,
+			getEffect: (from, to) => combineRules(this.#rules.values(), from, to),
+			onClose: () => {
+				this.#connections.delete(connection);
+			},
+		});
+		this.#connections.add(connection);
+	}
+}
