Use the documented service name of the membership list and enable logging

Cause: on the first run of three hosts each believed that it was alone. The adapter read the service tarragond, the design page and the stand-in use tarragon-host. Logs were missing because roarr discards messages without ROARR_LOG.

Change: one name; createLogger sets the variable.

--- a/packages/core/src/adapters/consul-membership-list.ts
+++ b/packages/core/src/adapters/consul-membership-list.ts
@@ -37,7 +37,7 @@
 
 /** Names of the services in the list. */
 export const defaultServiceNames: Readonly<Record<MemberKind, string>> = {
-	[MemberKind.Host]: 'tarragond',
+	[MemberKind.Host]: 'tarragon-host',
 	[MemberKind.Upstream]: 'tarragon-upstream',
 };
 
--- a/packages/core/src/observability/log.ts
+++ b/packages/core/src/observability/log.ts
@@ -7,6 +7,8 @@
  * @param context - Fields of every line, for instance `host` and `availabilityZone`.
  */
 export function createLogger(context: Readonly<Record<string, string>>): Logger {
+	// The library discards all messages unless this variable is set.
+	process.env['ROARR_LOG'] = 'true';
 	ROARR.write = line => {
 		process.stderr.write(`${line}\n`);
 	};
--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -238,7 +238,6 @@
 		this.#directory.start();
 		this.#baseConfiguration.subscribe(({version}) => {
 			this.#directory.setConfigurationVersion(version);
-			this.#logger.info({version}, 'configuration version is in force');
 		});
 		this.#baseConfiguration.start();
 		const callers = await this.#listener.listen();
