Test the callers' side with the pg driver and fix the end of a connection

Cause: only three paths were tested. The new tests showed that a removed user received ReadyForQuery in front of its FATAL error, so that the driver took the query for a success without rows.

--- a/packages/daemon/src/connection/caller/caller-connection.ts
+++ b/packages/daemon/src/connection/caller/caller-connection.ts
@@ -224,8 +224,7 @@
 
 		const next = await this.#serveUnit(buildSimpleUnit(message, this.#getUnitContext()));
 		this.#statements.set('', undefined);
-		await this.#sendReady();
-		return next;
+		return this.#finishUnit(next);
 	}
 
 	async #serveSync(): Promise<Next> {
@@ -236,8 +235,7 @@
 			this.#portals = new Map();
 		}
 
-		await this.#sendReady();
-		return next;
+		return this.#finishUnit(next);
 	}
 
 	/** Runs what was collected before Sync. The upstream receives a Sync, whose ReadyForQuery the caller does not receive. */
@@ -264,9 +262,7 @@
 
 	async #refuseFunctionCall(): Promise<Next> {
 		await this.#reject({code: SqlState.FeatureNotSupported, message: 'FunctionCall is not supported; use SELECT'});
-		this.#isSkipping = false;
-		await this.#sendReady();
-		return Next.Continue;
+		return this.#finishUnit(Next.Continue);
 	}
 
 	/** Serves one unit up to, but without, ReadyForQuery. */
@@ -409,8 +405,17 @@
 		await this.#send(encodeError(Severity.Error, error));
 	}
 
-	async #sendReady(): Promise<void> {
+	/** Sends ReadyForQuery, unless a FATAL error is to follow. */
+	async #finishUnit(next: Next): Promise<Next> {
 		this.#isSkipping = false;
+		if (next === Next.Continue) {
+			await this.#sendReady();
+		}
+
+		return next;
+	}
+
+	async #sendReady(): Promise<void> {
 		await this.#send(encodeReadyForQuery(this.#hasLocalFailure ? TransactionStatus.Failed : this.#upstreamStatus));
 	}
 
--- a/packages/daemon/tests/connection/caller/fake-executor.ts
+++ b/packages/daemon/tests/connection/caller/fake-executor.ts
@@ -53,11 +53,14 @@
 	abandoned = 0;
 	/** Takes over requests for which it returns a promise of a result. */
 	override?: Override;
+	/** Plays the updates of the router on the session. */
+	onSession?: (session: CallerSession) => void;
 	#status = TransactionStatus.Idle;
 
 	async execute(request: CallerRequest, session: CallerSession, sink: ResponseSink, signal: AbortSignal): Promise<UpstreamResult> {
 		this.requests.push(request);
 		this.sessions.push({...session});
+		this.onSession?.(session);
 		this.signals.push(signal);
 		const messages = splitMessages(request.messages);
 		const result = await this.override?.(this.getText(request), request, sink, signal);
--- a/packages/daemon/tests/connection/caller/harness.ts
+++ b/packages/daemon/tests/connection/caller/harness.ts
@@ -141,6 +141,26 @@
 		return caller;
 	}
 
+	/**
+	 * Makes all requests wait.
+	 *
+	 * @returns Function that lets them run.
+	 */
+	blockRequests(): () => void {
+		let open = () => {};
+		const gate = new Promise<void>(resolve => {
+			open = resolve;
+		});
+		this.executor.override = async () => {
+			await gate;
+			return undefined;
+		};
+
+		return () => {
+			open();
+		};
+	}
+
 	/** Waits until a condition holds. */
 	async until(condition: () => boolean, milliseconds = 5000): Promise<void> {
 		const end = this.timers.now() + milliseconds;
--- /dev/null
+++ b/packages/daemon/tests/connection/caller/transactions.test.ts
@@ -0,0 +1,173 @@
+import {RefusalReason, RequestKind, TransactionStatus} from '@tarragonstack/core';
+import {serialize} from 'pg-protocol';
+import {describe, expect, it} from 'vitest';
+import {refused} from './fake-executor.js';
+import {Harness} from './harness.js';
+
+describe('transactions', () => {
+	it('gives all units from BEGIN to COMMIT the kind transaction, which guards against statements on other connections', async () => {
+		await using harness = await Harness.start();
+		const client = await harness.connect();
+		await client.query('BEGIN');
+		await client.query('SELECT 1');
+		await client.query('INSERT INTO a VALUES ($1)', [1]);
+		await client.query('COMMIT');
+		await client.query('SELECT 1');
+		expect(harness.executor.requests.map(request => [request.kind, request.beginsTransaction])).toEqual([
+			[RequestKind.Transaction, true],
+			[RequestKind.Transaction, false],
+			[RequestKind.Transaction, false],
+			[RequestKind.Transaction, false],
+			[RequestKind.Read, false],
+		]);
+	});
+
+	it('keeps the group of the transaction when the option changes, which guards against a half transaction in each group', async () => {
+		await using harness = await Harness.start();
+		const client = await harness.connect();
+		await client.query('BEGIN');
+		await client.query('SET tarragon.group = \'subs-other\'');
+		await client.query('SELECT 1 /*group=\'subs-other\'*/');
+		await client.query('COMMIT');
+		await client.query('SELECT 1');
+		expect(harness.executor.requests.map(request => request.group)).toEqual(['subs-core', 'subs-core', 'subs-core', 'subs-other']);
+	});
+
+	it('keeps portals within a transaction, which guards against a cursor that ends at Sync', async () => {
+		await using harness = await Harness.start();
+		const caller = await harness.connectRaw();
+		caller.socket.write(Buffer.concat([
+			serialize.query('BEGIN'),
+			serialize.parse({text: 'SELECT 1'}), serialize.bind({portal: 'p'}), serialize.flush(), serialize.execute({portal: 'p', rows: 1}), serialize.sync(),
+			serialize.execute({portal: 'p', rows: 1}), serialize.sync(), serialize.query('COMMIT'),
+		]));
+		await caller.waitFor('Z', 4);
+		expect(caller.errorCodes).toEqual([]);
+		expect(harness.executor.requests).toHaveLength(5);
+	});
+
+	const states = [
+		{lost: TransactionStatus.Idle, ends: 'lost'},
+		{lost: TransactionStatus.InTransaction, ends: 'still open'},
+	];
+	it.each(states)('runs nothing after a refused statement while the transaction is $ends, which guards against half a transaction', async ({lost}) => {
+		await using harness = await Harness.start();
+		const client = await harness.connect();
+		await client.query('BEGIN');
+		harness.executor.override = async () => refused(RefusalReason.NoUpstream, lost);
+		await expect(client.query('INSERT INTO a VALUES (1)')).rejects.toMatchObject({code: 'TS002'});
+		harness.executor.override = undefined;
+		await expect(client.query('INSERT INTO a VALUES (2)')).rejects.toMatchObject({code: '25P02'});
+		await expect(client.query('SELECT $1', [3])).rejects.toMatchObject({code: '25P02'});
+		await expect(client.query('ROLLBACK TO SAVEPOINT unknown; SELECT 1')).rejects.toMatchObject({code: '25P02'});
+		expect(await client.query('COMMIT')).toMatchObject({command: 'ROLLBACK'});
+		await client.query('INSERT INTO a VALUES (4)');
+		const texts = harness.executor.requests.slice(2).map(request => harness.executor.getText(request));
+		expect(texts).toEqual(lost === TransactionStatus.Idle ? ['INSERT INTO a VALUES (4)'] : ['ROLLBACK', 'INSERT INTO a VALUES (4)']);
+	});
+
+	it.each([
+		['COPY a FROM STDIN', 'a COPY'],
+		['SET work_mem = 1', 'a setting'],
+		['SELECT 1 /*rank=\'first\'*/', 'an invalid option'],
+	])('ends the transaction after the refusal of %j, which guards against a COMMIT without %s', async text => {
+		await using harness = await Harness.start();
+		const client = await harness.connect();
+		await client.query('BEGIN');
+		await expect(client.query(text)).rejects.toThrow();
+		expect(await client.query({text: 'COMMIT', values: [], name: 'end'})).toMatchObject({command: 'ROLLBACK'});
+	});
+
+	it('goes on after ROLLBACK TO SAVEPOINT, which guards against a caller that must give up the whole transaction', async () => {
+		await using harness = await Harness.start();
+		const client = await harness.connect();
+		await client.query('BEGIN');
+		await client.query('SAVEPOINT s');
+		await expect(client.query('COPY a FROM STDIN')).rejects.toMatchObject({code: '0A000'});
+		await client.query('ROLLBACK TO SAVEPOINT s');
+		await client.query('SELECT 1');
+		expect(await client.query('COMMIT')).toMatchObject({command: 'COMMIT'});
+	});
+
+	it('reports idle after a COMMIT with unknown outcome, which guards against a session that stays failed', async () => {
+		await using harness = await Harness.start();
+		const client = await harness.connect();
+		await client.query('BEGIN');
+		harness.executor.override = async () => refused(RefusalReason.OutcomeUnknown);
+		await expect(client.query('COMMIT')).rejects.toMatchObject({code: '08007'});
+		harness.executor.override = undefined;
+		expect(await client.query('SELECT 1')).toMatchObject({rowCount: 1});
+	});
+
+	it('answers COMMIT and ROLLBACK without a transaction locally, which guards against useless work at the primary', async () => {
+		await using harness = await Harness.start();
+		const client = await harness.connect();
+		expect(await client.query('ROLLBACK')).toMatchObject({command: 'ROLLBACK'});
+		expect(await client.query({name: 'c', text: 'COMMIT'})).toMatchObject({command: 'COMMIT'});
+		expect(harness.executor.requests).toEqual([]);
+	});
+
+	it('aborts the signal and abandons the transaction when the socket ends during a request', async () => {
+		await using harness = await Harness.start();
+		const caller = await harness.connectRaw();
+		caller.socket.write(serialize.query('BEGIN'));
+		await caller.waitFor('Z');
+		const open = harness.blockRequests();
+		caller.socket.write(serialize.query('SELECT 1'));
+		await harness.until(() => harness.executor.requests.length === 2);
+		caller.socket.destroy();
+		await harness.until(() => Boolean(harness.executor.signals[1]?.aborted));
+		open();
+		await harness.until(() => harness.executor.abandoned === 1);
+		await harness.until(() => harness.listener.connectionCount === 0);
+	});
+});
+
+describe('cancel requests', () => {
+	/** Sends a cancel request with the key of a client. */
+	async function cancel(harness: Harness, processIdentifier: number, secret: number): Promise<void> {
+		const {connect} = await import('node:net');
+		const socket = connect(harness.port, '127.0.0.1');
+		socket.end(serialize.cancel(processIdentifier, secret));
+		await new Promise(resolve => {
+			socket.once('close', resolve);
+			socket.resume();
+		});
+	}
+
+	type Key = {processID: number; secretKey: number};
+
+	it('cancels exactly the running request of the matching connection', async () => {
+		await using harness = await Harness.start();
+		const client = await harness.connect();
+		const other = await harness.connect();
+		const {processID, secretKey} = client as unknown as Key;
+		await client.query('SELECT 0');
+		await cancel(harness, processID, secretKey);
+		expect(harness.executor.cancelled, 'an idle connection has nothing to cancel').toEqual([]);
+		const open = harness.blockRequests();
+		const queries = [client.query('SELECT 1'), other.query('SELECT 2')];
+		await harness.until(() => harness.executor.requests.length === 3);
+		await cancel(harness, processID, secretKey + 1);
+		await cancel(harness, (other as unknown as Key).processID, secretKey);
+		expect(harness.executor.cancelled, 'a wrong secret must cancel nothing').toEqual([]);
+		await cancel(harness, processID, secretKey);
+		await harness.until(() => harness.executor.cancelled.length > 0);
+		const expected = harness.executor.requests.find(request => harness.executor.getText(request) === 'SELECT 1');
+		expect(harness.executor.cancelled).toEqual([expected?.requestIdentifier]);
+		open();
+		await Promise.all(queries);
+	});
+
+	it('issues keys that differ in both halves, which guards against keys that can be guessed', async () => {
+		await using harness = await Harness.start();
+		const keys: Key[] = [];
+		for (let index = 0; index < 20; index++) {
+			keys.push(await harness.connect() as unknown as Key);
+		}
+
+		expect(new Set(keys.map(key => key.secretKey)).size).toBe(20);
+		const steps = keys.slice(1).map((key, index) => key.processID - (keys[index]?.processID ?? 0));
+		expect(new Set(steps).size).toBeGreaterThan(10);
+	});
+});
