--- a/packages/daemon/src/request/scheduling/first-in-first-out-strategy.ts
+++ b/packages/daemon/src/request/scheduling/first-in-first-out-strategy.ts
@@ -1,6 +1,6 @@
 import {type Rank} from '@tarragonstack/core';
 import {type QueueState, type ScheduledWork} from './scheduled-work.js';
-import {type SchedulingChoice, type SchedulingStrategy} from './scheduling-policy.js';
+import {type SchedulingChoice, type SchedulingStrategy} from './scheduling-strategy.js';
 
 /** Baseline that serves work in the order of arrival and refuses only what would not start before it is given up. */
 export class FirstInFirstOutStrategy implements SchedulingStrategy {
--- /dev/null
+++ b/packages/daemon/src/request/scheduling/floor-account.ts
@@ -0,0 +1,91 @@
+import {ranks, type Rank} from '@tarragonstack/core';
+import {type QueueState, type ScheduledWork} from './scheduled-work.js';
+
+/**
+ * Slot time, per slot and in milliseconds, by which a rank may fall behind its floor before it is served out of turn.
+ * Within it the order by refund may delay a rank until its work is due.
+ */
+const toleratedDebtMilliseconds = 50;
+
+/** Multiple of the tolerated debt at which the account is capped, so that an old debt cannot block other ranks for long. */
+const maximumDebtFactor = 3;
+
+/** Floor of a rank, with the work that waits in it. */
+export type RankFloor = {
+	/** Share of slot time that the rank keeps. */
+	readonly share: number;
+	/** Slot time of the waiting work, in milliseconds. */
+	readonly waitingMilliseconds: number;
+};
+
+/** Accounts of the slot time that each rank is owed by its floor. */
+export class FloorAccount {
+	readonly #debts = new Map<Rank, number>();
+
+	/**
+	 * Distributes slot time that was used: every rank with waiting work is owed its share, and the served rank pays.
+	 *
+	 * @param servedRank - Rank that used the slot time.
+	 * @param slotMilliseconds - Slot time that was used.
+	 * @param state - State after the work ended.
+	 */
+	onServed(servedRank: Rank, slotMilliseconds: number, state: QueueState): void {
+		const floors = getRankFloors(state.waiting);
+		const limit = maximumDebtFactor * toleratedDebtMilliseconds * state.slots;
+		for (const rank of ranks) {
+			const floor = floors.get(rank);
+			const paid = rank === servedRank ? slotMilliseconds : 0;
+			const debt = (this.#debts.get(rank) ?? 0) - paid + (floor ? floor.share * slotMilliseconds : 0);
+			// A rank without waiting work is owed nothing. Slot time beyond the floor is no advance: the floor is a minimum.
+			this.#debts.set(rank, Math.max(0, Math.min(floor ? limit : 0, debt)));
+		}
+	}
+
+	/**
+	 * Returns the rank that must be served out of turn, if any: the one with the greatest debt beyond the tolerance.
+	 *
+	 * @param state - Present state.
+	 */
+	getOverdueRank(state: QueueState): Rank | undefined {
+		let overdue: Rank | undefined;
+		let greatest = toleratedDebtMilliseconds * state.slots;
+		for (const [rank, debt] of this.#debts) {
+			if (debt > greatest) {
+				greatest = debt;
+				overdue = rank;
+			}
+		}
+
+		return overdue;
+	}
+}
+
+/**
+ * Returns the floor of each rank with waiting work: the mean of its customers' floor shares by their weights.
+ *
+ * @param waiting - Waiting work.
+ */
+export function getRankFloors(waiting: Iterable<ScheduledWork>): Map<Rank, RankFloor> {
+	const customers = new Map<Rank, Map<string, ScheduledWork>>();
+	const milliseconds = new Map<Rank, number>();
+	for (const work of waiting) {
+		milliseconds.set(work.rank, (milliseconds.get(work.rank) ?? 0) + work.serviceMilliseconds);
+		const ofRank = customers.get(work.rank) ?? new Map<string, ScheduledWork>();
+		ofRank.set(work.customer, work);
+		customers.set(work.rank, ofRank);
+	}
+
+	const floors = new Map<Rank, RankFloor>();
+	for (const [rank, works] of customers) {
+		let weight = 0;
+		let weightedShare = 0;
+		for (const work of works.values()) {
+			weight += work.customerWeight;
+			weightedShare += work.customerWeight * work.floorShare;
+		}
+
+		floors.set(rank, {share: weightedShare / weight, waitingMilliseconds: milliseconds.get(rank) ?? 0});
+	}
+
+	return floors;
+}
--- a/packages/daemon/src/request/scheduling/scheduled-work.ts
+++ b/packages/daemon/src/request/scheduling/scheduled-work.ts
@@ -29,6 +29,8 @@
 	readonly now: number;
 	/** Statements that run at the same time. */
 	readonly slots: number;
+	/** Statements that run now. */
+	readonly runningCount: number;
 	/** Expected rest of the slot time of the running statements, in milliseconds. */
 	readonly residualMilliseconds: number;
 	/** Waiting work in the order of arrival. */
--- a/packages/daemon/src/request/scheduling/slot-queue.ts
+++ b/packages/daemon/src/request/scheduling/slot-queue.ts
@@ -1,7 +1,8 @@
 import {ranks, RefusalReason, type Rank, type Refusal, type TimerService, type UpstreamLoad} from '@tarragonstack/core';
 import {err, ok, type Result} from 'neverthrow';
 import {type QueueState, type ScheduledWork} from './scheduled-work.js';
-import {schedulingStrategies, type SchedulingPolicy, type SchedulingStrategy} from './scheduling-policy.js';
+import {schedulingStrategies, type SchedulingPolicy} from './scheduling-policy.js';
+import {type SchedulingStrategy} from './scheduling-strategy.js';
 import {ServiceTimeEstimates, type ServiceTimeClass} from './service-time-estimates.js';
 
 /** Shortest hint for another try. A shorter one would only add load. */
@@ -204,7 +205,7 @@
 		}
 
 		return {
-			now, slots: this.#slots, residualMilliseconds: residual, waiting: this.#waitingSet,
+			now, slots: this.#slots, runningCount: this.#running.size, residualMilliseconds: residual, waiting: this.#waitingSet,
 		};
 	}
 
--- /dev/null
+++ b/packages/daemon/tests/connection/upstream/upstream-connection.test.ts
@@ -0,0 +1,170 @@
+import {TransactionStatus, Verdict} from '@tarragonstack/core';
+import {serialize} from 'pg-protocol';
+import {describe, expect, it, vi} from 'vitest';
+import {UpstreamConnection} from '../../../src/connection/upstream/upstream-connection.js';
+import {HoldMode, type StatementOptions} from '../../../src/request/scheduling/statement-connection.js';
+import {commandComplete, FakePostgresServer, message} from './fake-postgres-server.js';
+
+async function open(server: FakePostgresServer, localAddress = '127.0.0.1'): Promise<UpstreamConnection> {
+	const connection = await UpstreamConnection.open({
+		host: '127.0.0.1', port: server.port, localAddress, user: 'tarragon', password: 'secret', database: 'test', timeoutMilliseconds: 2000,
+	});
+	return connection._unsafeUnwrap();
+}
+
+function collect(overrides: Partial<StatementOptions> = {}): {options: StatementOptions; received: () => Buffer} {
+	const chunks: Uint8Array[] = [];
+	return {
+		options: {
+			sink: {
+				async write(bytes) {
+					chunks.push(bytes);
+				},
+			},
+			hiddenParseCompletes: [],
+			holdMode: HoldMode.Error,
+			...overrides,
+		},
+		received: () => Buffer.concat(chunks),
+	};
+}
+
+describe('UpstreamConnection', () => {
+	it('leaves from the configured source address, since the relay recognizes hosts by it', async () => {
+		await using server = await FakePostgresServer.start();
+		const connection = await open(server, '127.0.0.7');
+		expect([...server.remoteAddresses]).toEqual(['127.0.0.7']);
+		connection.close();
+		await connection.closed;
+	});
+
+	it('reports the SQLSTATE of a refused log-in, on which the pool backs off', async () => {
+		await using server = await FakePostgresServer.start();
+		server.loginError = '53300';
+		const result = await UpstreamConnection.open({
+			host: '127.0.0.1', port: server.port, localAddress: '127.0.0.1', user: 'u', password: 'p', database: 'd', timeoutMilliseconds: 2000,
+		});
+		expect(result._unsafeUnwrapErr().sqlState).toBe('53300');
+	});
+
+	it('passes on a response of many reads completely, without ReadyForQuery', async () => {
+		await using server = await FakePostgresServer.start();
+		const connection = await open(server);
+		const {options, received} = collect();
+		const outcome = await connection.run(serialize.query('rows 500 1000'), options);
+		expect(outcome).toMatchObject({verdict: Verdict.Ran, transactionStatus: TransactionStatus.Idle});
+		expect(received().length).toBe((500 * (5 + 6 + 1000)) + commandComplete('SELECT 500').length);
+		expect(received().subarray(-commandComplete('SELECT 500').length)).toEqual(commandComplete('SELECT 500'));
+		expect(connection.isClean).toBe(true);
+		connection.close();
+	});
+
+	it('reads no more than socket buffers while the receiver is not ready, so that memory stays bounded', async () => {
+		await using server = await FakePostgresServer.start();
+		const connection = await open(server);
+		let release!: () => void;
+		const gate = new Promise<void>(resolve => {
+			release = resolve;
+		});
+		let writeCount = 0;
+		const running = connection.run(serialize.query('rows 5000 1000'), collect({
+			sink: {
+				async write() {
+					writeCount++;
+					await gate;
+				},
+			},
+		}).options);
+		await vi.waitFor(() => {
+			expect(writeCount).toBe(1);
+		});
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		expect(writeCount).toBe(1);
+		release();
+		const {writtenBytes} = await running;
+		expect(writtenBytes).toBeGreaterThan(5_000_000);
+		connection.close();
+	});
+
+	it('removes exactly the hidden ParseComplete messages', async () => {
+		await using server = await FakePostgresServer.start();
+		const connection = await open(server);
+		const {options, received} = collect({hiddenParseCompletes: [0, 2]});
+		const parse = serialize.parse({text: 'x'});
+		await connection.run(Buffer.concat([parse, parse, parse, serialize.sync()]), options);
+		expect(received()).toEqual(message('1'));
+		connection.close();
+	});
+
+	it.each([
+		{
+			text: 'INSERT', holdMode: HoldMode.Completion, held: 'INSERT', guards: 'a write that is acknowledged before the fence check',
+		},
+		{
+			text: 'INSERT', holdMode: HoldMode.Commit, held: '', guards: 'a statement of a transaction that is withheld for no reason',
+		},
+		{
+			text: 'COMMIT', holdMode: HoldMode.Commit, held: 'COMMIT', guards: 'a commit that is acknowledged before the fence check',
+		},
+	])('withholds what it must: $guards', async ({text, holdMode, held}) => {
+		await using server = await FakePostgresServer.start();
+		const connection = await open(server);
+		const {options, received} = collect({holdMode});
+		const outcome = await connection.run(serialize.query(text), options);
+		expect(outcome.held).toEqual(held === '' ? Buffer.alloc(0) : commandComplete(held));
+		expect(received()).toEqual(held === '' ? commandComplete(text) : Buffer.alloc(0));
+		connection.close();
+	});
+
+	it.each([
+		{
+			text: 'drop', verdict: Verdict.MayHaveRun, writtenBytes: 0, guards: 'a sent statement taken for not run',
+		},
+		{
+			text: 'drop after rows', verdict: Verdict.MayHaveRun, writtenBytes: 16, guards: 'a cut response taken for complete',
+		},
+	])('reports a lost connection: $guards', async ({text, verdict, writtenBytes}) => {
+		await using server = await FakePostgresServer.start();
+		const connection = await open(server);
+		const outcome = await connection.run(serialize.query(text), collect().options);
+		expect(outcome).toMatchObject({verdict, writtenBytes});
+		expect(connection.isOpen).toBe(false);
+		const next = await connection.run(serialize.query('rows 1 1'), collect().options);
+		expect(next.verdict).toBe(Verdict.NotRun);
+	});
+
+	it('cancels with its own key, and is not clean before the cancel connection has closed', async () => {
+		await using server = await FakePostgresServer.start();
+		let closeCancel!: () => void;
+		server.cancelGate = new Promise<void>(resolve => {
+			closeCancel = resolve;
+		});
+		const connection = await open(server);
+		const running = connection.run(serialize.query('hang'), collect().options);
+		await vi.waitFor(() => {
+			expect(server.log).toHaveLength(1);
+		});
+		const cancelled = connection.cancel();
+		const {sqlState} = await running;
+		expect(sqlState).toBe('57014');
+		expect(server.cancelledProcesses).toEqual([1]);
+		expect(connection.isClean).toBe(false);
+		closeCancel();
+		await cancelled;
+		expect(connection.isClean).toBe(true);
+		connection.close();
+	});
+
+	it.each([
+		{text: 'SET', guards: 'a setting of one customer that reaches another'},
+		{text: 'BEGIN', guards: 'an open transaction that another unit joins'},
+	])('is not clean after $text: $guards', async ({text}) => {
+		await using server = await FakePostgresServer.start();
+		const connection = await open(server);
+		await connection.run(serialize.query(text), collect().options);
+		expect(connection.isClean).toBe(false);
+		connection.close();
+	});
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 /** @type {import('xo').FlatXoConfig} */
 const config = [
-	{ignores: ['**/dist/**', 'coverage/**', 'reports/**']},
+	{ignores: ['**/dist/**', '**/dist-tests/**', 'coverage/**', 'reports/**']},
 	{
 		rules: {
 			// The house style stores data in enums and releases resources with `await using`.
