Enable logging before roarr is loaded

Cause: roarr decides at load time whether it discards messages; setting the variable in createLogger came too late.

Change: a module that sets the variable is imported first.

--- a/packages/core/src/observability/log.ts
+++ b/packages/core/src/observability/log.ts
@@ -1,3 +1,5 @@
+// eslint-disable-next-line import-x/no-unassigned-import, import-x/order -- must run before roarr is loaded
+import './enable-roarr.js';
 import process from 'node:process';
 import {Roarr, ROARR, type Logger} from 'roarr';
 
@@ -7,8 +9,6 @@
  * @param context - Fields of every line, for instance `host` and `availabilityZone`.
  */
 export function createLogger(context: Readonly<Record<string, string>>): Logger {
-	// The library discards all messages unless this variable is set.
-	process.env['ROARR_LOG'] = 'true';
 	ROARR.write = line => {
 		process.stderr.write(`${line}\n`);
 	};
--- a/packages/daemon/tests/request/scheduling/slot-simulation.ts
+++ b/packages/daemon/tests/request/scheduling/slot-simulation.ts
@@ -1,5 +1,5 @@
 import {
-	ManualTimerService, Rank, RefusalReason, RequestKind,
+	ManualTimerService, type Rank, type RefusalReason, RequestKind,
 } from '@tarragonstack/core';
 import {type SchedulingPolicy} from '../../../src/request/scheduling/scheduling-policy.js';
 import {SlotQueue, type SlotRequest} from '../../../src/request/scheduling/slot-queue.js';
--- a/packages/daemon/tests/request/statement/sql-analysis.test.ts
+++ b/packages/daemon/tests/request/statement/sql-analysis.test.ts
@@ -11,7 +11,7 @@
 		['SELECT $$a; DELETE FROM b$$', 'a dollar quote taken for statements'],
 		['SELECT $x$ $$ ; $x$', 'a dollar quote with a tag'],
 		['/* a; /* nested */ delete */ SELECT 1 -- update', 'comments taken for statements'],
-		['SELECT E\'it\\\'s; delete\'', 'an escaped quote that ends the string early'],
+		[String.raw`SELECT E'it\'s; delete'`, 'an escaped quote that ends the string early'],
 		['VALUES (1), (2)', 'VALUES taken for a write'],
 		['WITH a AS (SELECT 1) SELECT * FROM a', 'a common table expression of reads'],
 		['(SELECT 1) UNION (SELECT 2)', 'parentheses in front of SELECT'],
