--- a/packages/daemon/src/connection/caller/caller-connection.ts
+++ b/packages/daemon/src/connection/caller/caller-connection.ts
@@ -167,7 +167,7 @@
 			},
 		});
 		this.#login = await login.run();
-		this.#socket = this.#login?.socket ?? acceptedSocket;
+		this.#socket = login.socket;
 	}
 
 	#cancelRunningRequest(): void {
--- a/packages/daemon/src/connection/caller/caller-login.ts
+++ b/packages/daemon/src/connection/caller/caller-login.ts
@@ -39,8 +39,6 @@
 
 /** Login that succeeded. */
 export type Login = {
-	/** Socket of the session: the TLS socket if the caller asked for TLS. */
-	readonly socket: Socket;
 	readonly user: string;
 	readonly customer: string;
 	readonly session: SessionState;
@@ -81,6 +79,11 @@
 		});
 	}
 
+	/** Socket in use: the TLS socket after the upgrade. */
+	get socket(): Socket {
+		return this.#gateway.socket;
+	}
+
 	/**
 	 * Runs the login.
 	 *
@@ -193,7 +196,6 @@
 			encodeReadyForQuery(TransactionStatus.Idle),
 		]));
 		return {
-			socket: this.#gateway.socket,
 			user: parameters.user,
 			customer: contract.customer,
 			session,
--- a/packages/daemon/src/request/statement/read-check.ts
+++ b/packages/daemon/src/request/statement/read-check.ts
@@ -84,7 +84,7 @@
 	'distinct',
 	'over',
 	'filter',
-	'between',
+	'between', 'cast', 'extract',
 	'like',
 	'ilike',
 	'is',
--- a/packages/daemon/src/request/statement/session-settings.ts
+++ b/packages/daemon/src/request/statement/session-settings.ts
@@ -27,6 +27,8 @@
 	['client_min_messages', {initial: 'notice', isHarmless: anyValue}],
 	// The time limit of the contract applies instead.
 	['statement_timeout', {initial: '0', isHarmless: value => /^\d+\s*(?:us|ms|s|min|h|d)?$/v.test(value)}],
+	['lock_timeout', {initial: '0', isHarmless: only('0')}],
+	['idle_in_transaction_session_timeout', {initial: '0', isHarmless: only('0')}],
 	['search_path', {initial: '"$user", public', isHarmless: only('public', '$user,public')}],
 ]);
 
--- a/packages/daemon/tests/connection/caller/login.test.ts
+++ b/packages/daemon/tests/connection/caller/login.test.ts
@@ -49,6 +49,13 @@
 		expect(await client.query('SELECT 1')).toMatchObject({rows: [{text: 'SELECT 1'}]});
 	});
 
+	it('reports a wrong password over TLS, which guards against an error that the end of the connection cuts off', async () => {
+		await using harness = await Harness.start({tls: {key: readFixture('key.pem'), cert: readFixture('certificate.pem')}});
+		for (let attempt = 0; attempt < 20; attempt++) {
+			await expect(harness.connect({ssl: {rejectUnauthorized: false}, password: 'wrong'})).rejects.toMatchObject({code: '28P01'});
+		}
+	});
+
 	it('tells callers that there is no TLS, which guards against a caller that waits', async () => {
 		await using harness = await Harness.start();
 		await expect(harness.connect({ssl: true})).rejects.toThrow(/does not support SSL/v);
@@ -69,7 +76,8 @@
 		await once(caller.socket, 'connect');
 		caller.socket.write(bytes);
 		await caller.waitForClose();
-		expect(await (await harness.connect()).query('SELECT 1')).toMatchObject({rowCount: 1});
+		const client = await harness.connect();
+		expect(await client.query('SELECT 1')).toMatchObject({rowCount: 1});
 	});
 
 	it('survives garbage in the TLS handshake, which guards against an error event without a listener', async () => {
@@ -81,6 +89,7 @@
 		caller.socket.write(Buffer.alloc(64, 1));
 		await caller.waitForClose();
 		await harness.until(() => harness.listener.connectionCount === 0);
-		expect(await (await harness.connect()).query('SELECT 1')).toMatchObject({rowCount: 1});
+		const client = await harness.connect();
+		expect(await client.query('SELECT 1')).toMatchObject({rowCount: 1});
 	});
 });
--- a/packages/daemon/tests/connection/caller/transactions.test.ts
+++ b/packages/daemon/tests/connection/caller/transactions.test.ts
@@ -38,8 +38,14 @@
 		const caller = await harness.connectRaw();
 		caller.socket.write(Buffer.concat([
 			serialize.query('BEGIN'),
-			serialize.parse({text: 'SELECT 1'}), serialize.bind({portal: 'p'}), serialize.flush(), serialize.execute({portal: 'p', rows: 1}), serialize.sync(),
-			serialize.execute({portal: 'p', rows: 1}), serialize.sync(), serialize.query('COMMIT'),
+			serialize.parse({text: 'SELECT 1'}),
+			serialize.bind({portal: 'p'}),
+			serialize.flush(),
+			serialize.execute({portal: 'p', rows: 1}),
+			serialize.sync(),
+			serialize.execute({portal: 'p', rows: 1}),
+			serialize.sync(),
+			serialize.query('COMMIT'),
 		]));
 		await caller.waitFor('Z', 4);
 		expect(caller.errorCodes).toEqual([]);
--- a/packages/daemon/tests/request/statement/request-options.test.ts
+++ b/packages/daemon/tests/request/statement/request-options.test.ts
@@ -36,7 +36,7 @@
 		['rank=\'urgent\',idempotency_key=\'a1\'', {rank: Rank.Urgent, idempotencyKey: 'a1'}, 'several pairs'],
 		['traceparent=\'00-ab\',rank=\'least\'', {rank: Rank.Least}, 'a foreign name that is refused'],
 		['idempotency_key=\'it%27s %C3%B1\'', {idempotencyKey: 'it\'s ñ'}, 'values that stay URL-encoded'],
-		['idempotency_key=\'it\\\'s\'', {idempotencyKey: 'it\'s'}, 'an escaped quote that ends the value'],
+		[String.raw`idempotency_key='it\'s'`, {idempotencyKey: 'it\'s'}, 'an escaped quote that ends the value'],
 		['idempotency_key=\'100%\'', {idempotencyKey: '100%'}, 'an invalid escape that throws'],
 		['an ordinary remark', {}, 'a remark taken for options'],
 	])('reads %j as %j (guards against %s)', (comment, expected, _guards) => {
@@ -50,7 +50,7 @@
 
 describe('parseStartupOptions', () => {
 	it.each([
-		['-c tarragon.rank=urgent -c tarragon.session=a\\ b', [['tarragon.rank', 'urgent'], ['tarragon.session', 'a b']]],
+		[String.raw`-c tarragon.rank=urgent -c tarragon.session=a\ b`, [['tarragon.rank', 'urgent'], ['tarragon.session', 'a b']]],
 		['-ctarragon.rank=urgent --tarragon.group=x', [['tarragon.rank', 'urgent'], ['tarragon.group', 'x']]],
 		['', []],
 	])('splits %j, which guards against options that are lost', (text, expected) => {
--- a/packages/daemon/tests/request/statement/sql-analysis.test.ts
+++ b/packages/daemon/tests/request/statement/sql-analysis.test.ts
@@ -11,10 +11,11 @@
 		['SELECT $$a; DELETE FROM b$$', 'a dollar quote taken for statements'],
 		['SELECT $x$ $$ ; $x$', 'a dollar quote with a tag'],
 		['/* a; /* nested */ delete */ SELECT 1 -- update', 'comments taken for statements'],
-		['SELECT E\'it\\\'s; delete\'', 'an escaped quote that ends the string early'],
+		[String.raw`SELECT E'it\'s; delete'`, 'an escaped quote that ends the string early'],
 		['VALUES (1), (2)', 'VALUES taken for a write'],
 		['WITH a AS (SELECT 1) SELECT * FROM a', 'a common table expression of reads'],
 		['(SELECT 1) UNION (SELECT 2)', 'parentheses in front of SELECT'],
+		['SELECT CAST(a AS numeric(10, 2)), extract(year FROM b) FROM c', 'type names and built-in syntax taken for functions'],
 		['SHOW server_version', 'SHOW of an upstream setting'],
 		['SELECT * FROM a WHERE b IN ($1, $2) LIMIT 5;', 'a final semicolon counted as a second statement'],
 	])('takes %j for a read (guards against %s)', text => {
