Check fencing and promotion with simulated groups and a model of interleavings

Cause: promotions must be safe and live under loss, crashes and pauses, and no test showed that. The model found two faults in assessGroup, both fixed here: a returned older primary, and a replica that follows a read-only one, counted as evidence of a working primary.

--- a/packages/daemon/src/request/failover/group-condition.ts
+++ b/packages/daemon/src/request/failover/group-condition.ts
@@ -63,7 +63,7 @@
 		return isWithoutPrimary(knowledge) ? GroupCondition.NoPrimary : GroupCondition.Healthy;
 	}
 
-	if (hasFailed(knowledge, primary.instance)) {
+	if (hasFailed(knowledge, primary)) {
 		return GroupCondition.PrimaryFailed;
 	}
 
@@ -99,9 +99,8 @@
 function isWithoutPrimary(knowledge: GroupKnowledge): boolean {
 	const {group, primary, greatestTerm} = knowledge;
 	const fresh = group.instances.filter(instance => isFresh(knowledge, instance.name));
-	const statuses = fresh.map(instance => knowledge.getStatus(instance.name));
-	const heard = statuses.some(status => status?.term === greatestTerm && status.primaryAddress !== ''
-		&& status.role === InstanceRole.Replica && status.primarySilenceMilliseconds < replicaSilenceMilliseconds);
+	const heard = fresh.some(instance => knowledge.getStatus(instance.name)?.term === greatestTerm
+		&& hearsFromPrimary(knowledge, instance.name, replicaSilenceMilliseconds));
 	if (heard || fresh.length < getMajority(group.instances.length)) {
 		return false;
 	}
@@ -144,8 +143,8 @@
 		&& contact.refusedAttempts < refusedAttemptsForSuspicion;
 }
 
-function hasFailed(knowledge: GroupKnowledge, primary: string): boolean {
-	const contact = knowledge.getContact(primary);
+function hasFailed(knowledge: GroupKnowledge, primary: PrimaryView): boolean {
+	const contact = knowledge.getContact(primary.instance);
 	if (!contact) {
 		return false;
 	}
@@ -158,12 +157,36 @@
 	return hasSilentMajority(knowledge, primary, refused ? replicaSilenceAfterRefusalMilliseconds : replicaSilenceMilliseconds);
 }
 
-function hasSilentMajority(knowledge: GroupKnowledge, primary: string | undefined, limitMilliseconds: number): boolean {
+/**
+ * Tells whether a majority of the members answers this host and hears from no primary of the given or a greater term.
+ * An older primary that returned, or a replica that still follows one, does not hear from the given primary either.
+ */
+function hasSilentMajority(knowledge: GroupKnowledge, primary: PrimaryView | undefined, limitMilliseconds: number): boolean {
 	const {instances} = knowledge.group;
 	const silent = instances.filter(instance => {
 		const status = knowledge.getStatus(instance.name);
-		return instance.name !== primary && isFresh(knowledge, instance.name)
-			&& status?.role === InstanceRole.Replica && status.primarySilenceMilliseconds >= limitMilliseconds;
+		if (!status || instance.name === primary?.instance || !isFresh(knowledge, instance.name)) {
+			return false;
+		}
+
+		return status.term < (primary?.term ?? 0)
+			|| (status.role === InstanceRole.Replica && !hearsFromPrimary(knowledge, instance.name, limitMilliseconds));
 	});
 	return silent.length >= getMajority(instances.length);
 }
+
+/**
+ * Tells whether a replica has recently heard from an instance that may be a primary. An instance that was raised after it
+ * was the primary still sends its entries, but accepts no writes.
+ */
+function hearsFromPrimary(knowledge: GroupKnowledge, instance: string, limitMilliseconds: number): boolean {
+	const status = knowledge.getStatus(instance);
+	if (status?.role !== InstanceRole.Replica || status.primaryAddress === '') {
+		return false;
+	}
+
+	const source = knowledge.group.instances.find(({address}) => address === status.primaryAddress);
+	const sourceIsReplica = source !== undefined && isFresh(knowledge, source.name)
+		&& knowledge.getStatus(source.name)?.role === InstanceRole.Replica;
+	return !sourceIsReplica && status.primarySilenceMilliseconds < limitMilliseconds;
+}
--- /dev/null
+++ b/packages/daemon/tests/request/failover/pooled-transport.ts
@@ -0,0 +1,76 @@
+import {type TimerService} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {type ControlOptions, type ControlError, ControlErrorKind} from '../../../src/index.js';
+import {type InstanceOperation, type SimulatedGroup, type SimulatedTransport} from './simulated-group.js';
+
+type Message = () => void;
+
+/** Transport whose messages wait until the test delivers or drops them. Messages of one link and direction stay in order. */
+export class PooledTransport implements SimulatedTransport {
+	/** Waiting messages by link and direction. */
+	readonly queues = new Map<string, Message[]>();
+	/** Links whose messages are lost, as `host instance`. */
+	readonly partitions = new Set<string>();
+	readonly #group: SimulatedGroup;
+	readonly #timers: TimerService;
+	#attempts = 0;
+
+	constructor(group: SimulatedGroup, timers: TimerService) {
+		this.#group = group;
+		this.#timers = timers;
+	}
+
+	async call<Value>(
+		host: string,
+		instanceName: string,
+		operation: InstanceOperation<Value>,
+		options: ControlOptions,
+	): Promise<Result<Value, ControlError>> {
+		const link = `${host} ${instanceName}`;
+		const instance = this.#group.getInstance(instanceName);
+		return new Promise(resolve => {
+			const limit = this.#timers.schedule(options.timeoutMilliseconds, () => {
+				resolve(err({kind: ControlErrorKind.TimedOut, message: 'no answer', connectionAttempt: 0}));
+			});
+			const answer = (result: Result<Value, ControlError>) => {
+				this.#enqueue(`${link} reply`, () => {
+					limit[Symbol.dispose]();
+					resolve(result);
+				});
+			};
+
+			this.#enqueue(`${link} request`, () => {
+				if (this.partitions.has(link)) {
+					return;
+				}
+
+				if (instance.alive) {
+					answer(ok(operation(instance)));
+				} else {
+					this.#attempts++;
+					answer(err({kind: ControlErrorKind.Refused, message: 'refused', connectionAttempt: this.#attempts}));
+				}
+			});
+		});
+	}
+
+	/** Removes the first message of one of the queues and returns it. */
+	take(choice: number): Message | undefined {
+		const waiting = [...this.queues.values()].filter(queue => queue.length > 0);
+		return waiting[choice % Math.max(1, waiting.length)]?.shift();
+	}
+
+	/** Delivers all messages that wait at the beginning of the call. */
+	deliverAll(): void {
+		const messages = [...this.queues.values()].flatMap(queue => queue.splice(0));
+		for (const deliver of messages) {
+			deliver();
+		}
+	}
+
+	#enqueue(queueName: string, message: Message): void {
+		const queue = this.queues.get(queueName) ?? [];
+		this.queues.set(queueName, queue);
+		queue.push(message);
+	}
+}
--- /dev/null
+++ b/packages/daemon/tests/request/failover/promoter.test.ts
@@ -0,0 +1,337 @@
+import {ManualTimerService} from '@tarragonstack/core';
+import {describe, expect, it} from 'vitest';
+import {InstanceRole, PromotionError} from '../../../src/index.js';
+import {LinkState, SimulatedGroup, TimedTransport} from './simulated-group.js';
+import {createGroupDefinition, SimulatedHost} from './simulated-host.js';
+
+const groupName = 'group-1';
+
+class Scenario {
+	readonly timers = new ManualTimerService();
+	readonly definition;
+	readonly group;
+	readonly transport;
+	readonly hosts: SimulatedHost[];
+
+	constructor(members: number, options: {readonly hosts?: number; readonly leaving?: readonly string[]} = {}) {
+		const definition = createGroupDefinition(members);
+		this.definition = {
+			...definition,
+			instances: definition.instances.map(instance =>
+				({...instance, leaving: options.leaving?.includes(instance.name) ?? false})),
+		};
+		this.group = new SimulatedGroup(this.definition, this.timers);
+		this.transport = new TimedTransport(this.group, this.timers);
+		this.group.initialize();
+		this.timers.subscribe(10, () => {
+			for (const instance of this.group.instances) {
+				this.group.replicate(instance, 100);
+			}
+		});
+		this.hosts = Array.from({length: options.hosts ?? 2}, (_, order) => this.createHost(order));
+	}
+
+	createHost(order: number): SimulatedHost {
+		return new SimulatedHost({
+			name: `host-${order + 1}`,
+			order,
+			timers: this.timers,
+			definition: this.definition,
+			group: this.group,
+			transport: this.transport,
+			random: () => (order + 1) / 4,
+		});
+	}
+
+	getHost(order: number): SimulatedHost {
+		const host = this.hosts[order];
+		if (!host) {
+			throw new Error(`host ${order} does not exist`);
+		}
+
+		return host;
+	}
+
+	/** Cuts an instance off from all hosts and from replication. */
+	partition(name: string): void {
+		for (const host of this.hosts) {
+			this.transport.links.set(`${host.name} ${name}`, LinkState.Partitioned);
+		}
+
+		for (const {definition} of this.group.instances) {
+			this.group.cutReplication.add(`${definition.name} ${name}`);
+			this.group.cutReplication.add(`${name} ${definition.name}`);
+		}
+	}
+
+	heal(): void {
+		this.transport.links.clear();
+		this.group.cutReplication.clear();
+	}
+
+	getPrimaryTerms(): Array<[string, number]> {
+		return this.group.promotions.slice(1).map(({instance, term}) => [instance, term]);
+	}
+
+	getFollowers(primary: string): string[] {
+		const {address} = this.group.getInstance(primary).definition;
+		return this.group.instances.filter(instance => instance.following === address).map(({definition}) => definition.name);
+	}
+
+	/** Advances until an instance is promoted beyond the present number of promotions. Returns the time that took. */
+	async waitForPromotion(limit: number): Promise<number> {
+		const start = this.timers.now();
+		const before = this.group.promotions.length;
+		while (this.group.promotions.length === before && this.timers.now() - start < limit) {
+			await this.timers.advance(5);
+		}
+
+		return this.timers.now() - start;
+	}
+}
+
+describe('Promoter', () => {
+	it.each([
+		{members: 3, limit: 350, guards: 'a killed primary that is detected only by the slow time-out'},
+		{members: 5, limit: 350, guards: 'a majority of three among four reachable members'},
+	])('replaces a killed primary of $members within $limit ms ($guards)', async ({members, limit}) => {
+		const scenario = new Scenario(members);
+		await scenario.timers.advance(1000);
+		scenario.group.getInstance('db-1').alive = false;
+		expect(await scenario.waitForPromotion(3000)).toBeLessThan(limit);
+		await scenario.timers.advance(2000);
+		expect(scenario.getPrimaryTerms()).toEqual([['db-2', 2]]);
+		expect(scenario.hosts.map(host => host.monitor.getPrimary(groupName))).toEqual([
+			{instance: 'db-2', term: 2}, {instance: 'db-2', term: 2},
+		]);
+		expect(scenario.getFollowers('db-2')).toContain('db-3');
+	});
+
+	it('replaces a partitioned primary within 1 s and truncates its extra entries when it returns (split brain)', async () => {
+		const scenario = new Scenario(3);
+		await scenario.timers.advance(1000);
+		scenario.partition('db-1');
+		const old = scenario.group.getInstance('db-1');
+		scenario.group.write(old, 'lost-1');
+		scenario.group.write(old, 'lost-2');
+		expect(await scenario.waitForPromotion(3000)).toBeLessThan(1000);
+		scenario.heal();
+		await scenario.timers.advance(3000);
+		expect(old.role).toBe(InstanceRole.Replica);
+		expect(old.following).toBe(scenario.group.getInstance('db-2').definition.address);
+		expect(old.log).toHaveLength(0);
+		const lost = scenario.hosts.map(host => host.metrics.counts.get('promotion.lost_entries') ?? 0);
+		expect(lost.reduce((sum, value) => sum + value)).toBe(2);
+		expect(scenario.getPrimaryTerms()).toHaveLength(1);
+	});
+
+	it('keeps a stalled primary from which the replicas still hear (a slow host is not a failed one)', async () => {
+		const scenario = new Scenario(3);
+		await scenario.timers.advance(1000);
+		scenario.group.getInstance('db-1').stalled = true;
+		await scenario.timers.advance(10_000);
+		expect(scenario.getPrimaryTerms()).toEqual([]);
+	});
+
+	it('keeps a primary that only this host cannot reach', async () => {
+		const scenario = new Scenario(3, {hosts: 1});
+		await scenario.timers.advance(1000);
+		scenario.transport.links.set('host-1 db-1', LinkState.Partitioned);
+		await scenario.timers.advance(10_000);
+		expect(scenario.getPrimaryTerms()).toEqual([]);
+	});
+
+	it('keeps a primary when a host starts that cannot reach it (a host without history must not promote)', async () => {
+		const scenario = new Scenario(3, {hosts: 0});
+		scenario.transport.links.set('host-1 db-1', LinkState.Partitioned);
+		scenario.hosts.push(scenario.createHost(0));
+		await scenario.timers.advance(10_000);
+		expect(scenario.getPrimaryTerms()).toEqual([]);
+	});
+
+	it.each([{pause: 300}, {pause: 5000}])('promotes nothing after its own pause of $pause ms (unread answers look like failures)', async ({pause}) => {
+		const scenario = new Scenario(3, {hosts: 1});
+		await scenario.timers.advance(1000);
+		const host = scenario.getHost(0);
+		host.timers.paused = true;
+		await scenario.timers.advance(pause);
+		host.timers.resume();
+		await scenario.timers.advance(2000);
+		expect(scenario.getPrimaryTerms()).toEqual([]);
+	});
+
+	it('promotes nothing when its pause hides that a short partition has ended (old answers seem to prove a failure)', async () => {
+		const scenario = new Scenario(3, {hosts: 1});
+		await scenario.timers.advance(1000);
+		const host = scenario.getHost(0);
+		scenario.partition('db-1');
+		await scenario.timers.advance(450);
+		host.timers.paused = true;
+		scenario.heal();
+		await scenario.timers.advance(300);
+		host.timers.resume();
+		await scenario.timers.advance(2000);
+		expect(scenario.getPrimaryTerms()).toEqual([]);
+	});
+
+	it('lets the second host promote when the first one does not (a dead promoter must not block the group)', async () => {
+		const scenario = new Scenario(3);
+		await scenario.timers.advance(1000);
+		await scenario.getHost(0).stop();
+		scenario.group.getInstance('db-1').alive = false;
+		expect(await scenario.waitForPromotion(3000)).toBeLessThan(500);
+		expect(scenario.getPrimaryTerms()).toEqual([['db-2', 2]]);
+	});
+
+	it('ends with one primary when two promoters start at the same moment (competing raises)', async () => {
+		const scenario = new Scenario(3, {hosts: 0});
+		scenario.hosts.push(scenario.createHost(0), new SimulatedHost({
+			name: 'host-b',
+			order: 0,
+			timers: scenario.timers,
+			definition: scenario.definition,
+			group: scenario.group,
+			transport: scenario.transport,
+			random: () => 0.9,
+		}));
+		await scenario.timers.advance(1000);
+		scenario.group.getInstance('db-1').alive = false;
+		await scenario.timers.advance(4000);
+		const primaries = scenario.group.instances.filter(instance => instance.alive && instance.role === InstanceRole.Primary);
+		expect(primaries).toHaveLength(1);
+		const terms = scenario.group.promotions.map(promotion => promotion.term);
+		expect(new Set(terms).size).toBe(terms.length);
+	});
+
+	it('goes on with a greater term when the promoter died between raise and promote (a raised term without a primary)', async () => {
+		const scenario = new Scenario(3);
+		await scenario.timers.advance(1000);
+		scenario.group.getInstance('db-1').alive = false;
+		scenario.group.raise(scenario.group.getInstance('db-2'), 2, 'dead-promoter');
+		scenario.group.raise(scenario.group.getInstance('db-3'), 2, 'dead-promoter');
+		expect(await scenario.waitForPromotion(3000)).toBeLessThan(1000);
+		expect(scenario.getPrimaryTerms()).toEqual([['db-2', 3]]);
+	});
+
+	it('goes on when the promoter died after it raised the healthy primary too', async () => {
+		const scenario = new Scenario(3);
+		await scenario.timers.advance(1000);
+		for (const instance of scenario.group.instances) {
+			scenario.group.raise(instance, 2, 'dead-promoter');
+		}
+
+		expect(await scenario.waitForPromotion(3000)).toBeLessThan(1000);
+		expect(scenario.getPrimaryTerms()).toEqual([['db-1', 3]]);
+	});
+
+	it('brings back a replica that a dead promoter raised, and keeps the primary (the replica no longer replicates)', async () => {
+		const scenario = new Scenario(3);
+		await scenario.timers.advance(1000);
+		scenario.group.raise(scenario.group.getInstance('db-3'), 2, 'dead-promoter');
+		await scenario.timers.advance(500);
+		expect(scenario.getPrimaryTerms()).toEqual([]);
+		await scenario.timers.advance(2000);
+		expect(scenario.getPrimaryTerms()).toEqual([['db-1', 3]]);
+		expect(scenario.getFollowers('db-1')).toEqual(['db-2', 'db-3']);
+	});
+
+	it('promotes the replica with the greatest position (the other one would lose entries)', async () => {
+		const scenario = new Scenario(3);
+		await scenario.timers.advance(1000);
+		scenario.group.cutReplication.add('db-1 db-2');
+		scenario.group.write(scenario.group.getInstance('db-1'), 'write-1');
+		await scenario.timers.advance(50);
+		scenario.group.getInstance('db-1').alive = false;
+		await scenario.waitForPromotion(3000);
+		expect(scenario.getPrimaryTerms()).toEqual([['db-3', 2]]);
+	});
+
+	it.each([
+		{behind: false, expected: [['db-3', 2]], guards: 'a leaving instance preferred although another is as good'},
+		{behind: true, expected: [['db-2', 2], ['db-3', 3]], guards: 'entries lost because the better instance is leaving'},
+	])('handles a leaving candidate ($guards)', async ({behind, expected}) => {
+		const scenario = new Scenario(3, {leaving: ['db-2']});
+		await scenario.timers.advance(1000);
+		if (behind) {
+			scenario.group.cutReplication.add('db-1 db-3');
+			scenario.group.write(scenario.group.getInstance('db-1'), 'write-1');
+			await scenario.timers.advance(50);
+		}
+
+		scenario.group.getInstance('db-1').alive = false;
+		await scenario.timers.advance(4000);
+		expect(scenario.getPrimaryTerms()).toEqual(expected);
+		expect(scenario.group.getInstance('db-3').log).toHaveLength(behind ? 1 : 0);
+	});
+
+	it('replaces a leaving primary by a planned switchover without loss and with little unavailability', async () => {
+		const scenario = new Scenario(3, {leaving: ['db-1']});
+		let accepted = 0;
+		let unavailableMilliseconds = 0;
+		scenario.timers.subscribe(1, () => {
+			const primary = scenario.group.instances.find(instance => instance.role === InstanceRole.Primary);
+			if (primary && scenario.group.write(primary, `write-${accepted}`)) {
+				accepted++;
+			} else {
+				unavailableMilliseconds++;
+			}
+		});
+		await scenario.timers.advance(3000);
+		expect(scenario.getPrimaryTerms()).toEqual([['db-2', 2]]);
+		expect(scenario.group.getInstance('db-2').log).toHaveLength(accepted);
+		expect(unavailableMilliseconds).toBeLessThan(100);
+	});
+
+	it.each([
+		{members: 1, guards: 'a group of one'},
+		{members: 2, guards: 'a group of two'},
+	])('does not promote without a majority in $guards, and the primary returns', async ({members}) => {
+		const scenario = new Scenario(members);
+		await scenario.timers.advance(1000);
+		const primary = scenario.group.getInstance('db-1');
+		primary.alive = false;
+		await scenario.timers.advance(5000);
+		expect(scenario.getPrimaryTerms()).toEqual([]);
+		primary.alive = true;
+		await scenario.timers.advance(2000);
+		expect(scenario.getHost(0).monitor.getPrimary(groupName)).toEqual({instance: 'db-1', term: 1});
+	});
+
+	it('switches a group of two over by hand (two members are a majority while both work)', async () => {
+		const scenario = new Scenario(2);
+		await scenario.timers.advance(1000);
+		const result = scenario.getHost(0).promoter.promoteManually(groupName, 'db-2');
+		await scenario.timers.advance(1000);
+		const promoted = await result;
+		expect(promoted._unsafeUnwrap()).toEqual({instance: 'db-2', term: 2});
+		expect(scenario.getFollowers('db-2')).toEqual(['db-1']);
+	});
+
+	it.each([
+		{group: 'group-9', instance: undefined, error: PromotionError.UnknownGroup},
+		{group: groupName, instance: 'db-9', error: PromotionError.UnknownGroup},
+		{group: groupName, instance: 'db-3', error: PromotionError.CandidateBehind},
+	])('reports $error for a manual promotion of $instance in $group', async ({group, instance, error}) => {
+		const scenario = new Scenario(3);
+		scenario.group.cutReplication.add('db-1 db-3');
+		scenario.group.write(scenario.group.getInstance('db-1'), 'write-1');
+		await scenario.timers.advance(1000);
+		const result = scenario.getHost(0).promoter.promoteManually(group, instance);
+		await scenario.timers.advance(1000);
+		const promoted = await result;
+		expect(promoted._unsafeUnwrapErr()).toBe(error);
+	});
+
+	it('promotes an instance in a group that has never had a primary', async () => {
+		const scenario = new Scenario(3, {hosts: 0});
+		for (const instance of scenario.group.instances) {
+			instance.term = 0;
+			instance.primaryTerm = 0;
+			instance.following = '';
+		}
+
+		scenario.hosts.push(scenario.createHost(0));
+		await scenario.timers.advance(2000);
+		expect(scenario.getPrimaryTerms()).toEqual([['db-1', 1]]);
+	});
+});
--- /dev/null
+++ b/packages/daemon/tests/request/failover/simulated-group.ts
@@ -0,0 +1,328 @@
+import {
+	compareLogPositions, type GroupDefinition, type InstanceDefinition, type TimerService,
+} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {
+	type ControlError, ControlErrorKind, type ControlOptions, type ControlOutcome, type FollowOutcome,
+	type InstanceControl, InstanceRole, type InstanceStatus,
+} from '../../../src/index.js';
+
+/** Entry of a replicated log. */
+export type LogEntry = {
+	readonly term: number;
+	readonly identifier: string;
+};
+
+/** Promotion that an instance accepted. */
+export type RecordedPromotion = {
+	readonly instance: string;
+	readonly term: number;
+	/** Position in the order of all events of the simulation. */
+	readonly event: number;
+	/** Identifiers of the entries that the instance held. */
+	readonly entries: ReadonlySet<string>;
+};
+
+/** What happens to the messages between a host and an instance. */
+export enum LinkState {
+	Working = 'working',
+	/** Messages are lost. */
+	Partitioned = 'partitioned',
+	/** The instance's process is dead: connection attempts are refused. */
+	Refused = 'refused',
+}
+
+/** Durable and volatile state of one database instance. */
+export class SimulatedInstance {
+	readonly definition: InstanceDefinition;
+	term = 0;
+	promoter = '';
+	/** Term for which the instance was promoted; 0 if never. */
+	primaryTerm = 0;
+	log: LogEntry[] = [];
+	following = '';
+	lastHeardAt = 0;
+	alive = true;
+	/** A stalled instance answers no host but still replicates. */
+	stalled = false;
+
+	constructor(definition: InstanceDefinition) {
+		this.definition = definition;
+	}
+
+	get role(): InstanceRole {
+		return this.primaryTerm > 0 && this.primaryTerm === this.term ? InstanceRole.Primary : InstanceRole.Replica;
+	}
+
+	getStatus(now: number, observedAt: number): InstanceStatus {
+		const last = this.log.at(-1);
+		const term = last?.term ?? 0;
+		return {
+			instance: this.definition.name,
+			role: this.role,
+			term: this.term,
+			promoter: this.promoter,
+			position: {term, index: this.log.length},
+			termStartIndex: this.log.findIndex(entry => entry.term === term),
+			primarySilenceMilliseconds: this.role === InstanceRole.Primary ? 0 : now - this.lastHeardAt,
+			primaryAddress: this.following,
+			slots: this.definition.slots,
+			connectionLimit: this.definition.connectionLimit,
+			observedAt,
+		};
+	}
+}
+
+/** Group of simulated instances. All operations are atomic; the tests decide when they happen. */
+export class SimulatedGroup {
+	readonly instances: readonly SimulatedInstance[];
+	readonly promotions: RecordedPromotion[] = [];
+	/** Pairs of names between which no replication flows. */
+	readonly cutReplication = new Set<string>();
+	events = 0;
+	readonly #timers: TimerService;
+
+	constructor(definition: GroupDefinition, timers: TimerService) {
+		this.#timers = timers;
+		this.instances = definition.instances.map(instance => new SimulatedInstance(instance));
+	}
+
+	getInstance(name: string): SimulatedInstance {
+		const instance = this.instances.find(({definition}) => definition.name === name);
+		if (!instance) {
+			throw new Error(`instance ${name} does not exist`);
+		}
+
+		return instance;
+	}
+
+	/** Makes the first instance the primary of term 1 and lets the others follow it. */
+	initialize(): void {
+		const [first, ...others] = this.instances;
+		if (!first) {
+			return;
+		}
+
+		this.raise(first, 1, 'initial');
+		this.promote(first, 1, 'initial');
+		for (const other of others) {
+			this.follow(other, first.definition.address, 1);
+		}
+	}
+
+	raise(instance: SimulatedInstance, term: number, promoter: string): boolean {
+		this.events++;
+		if (term <= instance.term) {
+			return false;
+		}
+
+		instance.term = term;
+		instance.promoter = promoter;
+		return true;
+	}
+
+	promote(instance: SimulatedInstance, term: number, promoter: string): boolean {
+		this.events++;
+		if (instance.term !== term || instance.promoter !== promoter) {
+			return false;
+		}
+
+		if (instance.primaryTerm !== term) {
+			instance.primaryTerm = term;
+			instance.following = '';
+			const entries = new Set(instance.log.map(entry => entry.identifier));
+			this.promotions.push({
+				instance: instance.definition.name, term, event: this.events, entries,
+			});
+		}
+
+		return true;
+	}
+
+	follow(instance: SimulatedInstance, address: string, term: number): {accepted: boolean; truncated: number} {
+		this.events++;
+		if (term < instance.term || (instance.role === InstanceRole.Primary && instance.term === term)) {
+			return {accepted: false, truncated: 0};
+		}
+
+		if (term > instance.term) {
+			instance.term = term;
+			instance.promoter = '';
+		}
+
+		instance.following = address;
+		return {accepted: true, truncated: this.#truncate(instance)};
+	}
+
+	write(instance: SimulatedInstance, identifier: string): boolean {
+		this.events++;
+		if (!instance.alive || instance.role !== InstanceRole.Primary) {
+			return false;
+		}
+
+		instance.log.push({term: instance.term, identifier});
+		return true;
+	}
+
+	/** Transfers up to the given number of entries to a replica. */
+	replicate(replica: SimulatedInstance, entries: number): void {
+		this.events++;
+		const source = this.#getSource(replica);
+		if (!source) {
+			return;
+		}
+
+		this.#truncate(replica);
+		replica.lastHeardAt = this.#timers.now();
+		replica.log.push(...source.log.slice(replica.log.length, replica.log.length + entries));
+	}
+
+	/** Returns the instance from which a replica receives entries, if it can reach it and its term permits it. */
+	#getSource(replica: SimulatedInstance): SimulatedInstance | undefined {
+		const source = this.instances.find(({definition}) => definition.address === replica.following);
+		const cut = source && this.cutReplication.has(`${source.definition.name} ${replica.definition.name}`);
+		return replica.alive && replica.role === InstanceRole.Replica && source?.alive && !cut && source !== replica
+			&& source.primaryTerm > 0 && source.primaryTerm >= replica.term
+			? source
+			: undefined;
+	}
+
+	/** Discards the entries that the source does not have. */
+	#truncate(instance: SimulatedInstance): number {
+		const source = this.#getSource(instance);
+		if (!source) {
+			return 0;
+		}
+
+		const different = instance.log.findIndex((entry, index) => entry.identifier !== source.log[index]?.identifier);
+		const kept = different === -1 ? instance.log.length : different;
+		const truncated = instance.log.length - kept;
+		instance.log = instance.log.slice(0, kept);
+		return truncated;
+	}
+}
+
+/** Operation on an instance, executed when its message arrives. */
+export type InstanceOperation<Value> = (instance: SimulatedInstance) => Value;
+
+/** Carries operations from a host to the instances. */
+export type SimulatedTransport = {
+	call<Value>(
+		host: string,
+		instance: string,
+		operation: InstanceOperation<Value>,
+		options: ControlOptions,
+	): Promise<Result<Value, ControlError>>;
+};
+
+/** Control connection over a simulated transport. */
+export class SimulatedInstanceControl implements InstanceControl {
+	readonly #group: SimulatedGroup;
+	readonly #timers: TimerService;
+	readonly #call: <Value>(operation: InstanceOperation<Value>, options: ControlOptions) => Promise<Result<Value, ControlError>>;
+
+	constructor(
+		group: SimulatedGroup,
+		timers: TimerService,
+		transport: SimulatedTransport,
+		link: {readonly host: string; readonly instance: string},
+	) {
+		this.#group = group;
+		this.#timers = timers;
+		this.#call = (operation, options) => transport.call(link.host, link.instance, operation, options);
+	}
+
+	async status(options: ControlOptions): Promise<Result<InstanceStatus, ControlError>> {
+		const observedAt = this.#timers.now();
+		return this.#call(instance => instance.getStatus(this.#timers.now(), observedAt), options);
+	}
+
+	async raise(term: number, promoter: string, options: ControlOptions): Promise<Result<ControlOutcome, ControlError>> {
+		return this.#run(instance => ({accepted: this.#group.raise(instance, term, promoter)}), options);
+	}
+
+	async promote(term: number, promoter: string, options: ControlOptions): Promise<Result<ControlOutcome, ControlError>> {
+		return this.#run(instance => ({accepted: this.#group.promote(instance, term, promoter)}), options);
+	}
+
+	async follow(address: string, term: number, options: ControlOptions): Promise<Result<FollowOutcome, ControlError>> {
+		return this.#run(instance => this.#group.follow(instance, address, term), options);
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		// A simulated connection holds no resource.
+	}
+
+	async #run<Value extends {accepted: boolean}>(
+		operation: InstanceOperation<Value>,
+		options: ControlOptions,
+	): Promise<Result<Value & {status: InstanceStatus}, ControlError>> {
+		const observedAt = this.#timers.now();
+		return this.#call(instance => {
+			const value = operation(instance);
+			return {...value, status: instance.getStatus(this.#timers.now(), observedAt)};
+		}, options);
+	}
+}
+
+/** Transport with a fixed delay and a state for each link. */
+export class TimedTransport implements SimulatedTransport {
+	readonly oneWayMilliseconds = 1;
+	/** State by `host instance`. */
+	readonly links = new Map<string, LinkState>();
+	/** Probability with which a message is lost. */
+	lossProbability = 0;
+	/** Number of operations that arrived, by instance. */
+	readonly arrivals = new Map<string, number>();
+	readonly #group: SimulatedGroup;
+	readonly #timers: TimerService;
+	readonly #random: () => number;
+	#attempts = 0;
+
+	constructor(group: SimulatedGroup, timers: TimerService, random: () => number = () => 0.5) {
+		this.#group = group;
+		this.#timers = timers;
+		this.#random = random;
+	}
+
+	async call<Value>(
+		host: string,
+		instanceName: string,
+		operation: InstanceOperation<Value>,
+		options: ControlOptions,
+	): Promise<Result<Value, ControlError>> {
+		const instance = this.#group.getInstance(instanceName);
+		const getState = () => instance.alive ? this.links.get(`${host} ${instanceName}`) ?? LinkState.Working : LinkState.Refused;
+		return new Promise(resolve => {
+			const limit = this.#timers.schedule(options.timeoutMilliseconds, () => {
+				resolve(err({kind: ControlErrorKind.TimedOut, message: 'no answer', connectionAttempt: 0}));
+			});
+			this.#timers.schedule(this.oneWayMilliseconds, () => {
+				if (getState() === LinkState.Refused) {
+					this.#attempts++;
+					limit[Symbol.dispose]();
+					resolve(err({kind: ControlErrorKind.Refused, message: 'refused', connectionAttempt: this.#attempts}));
+					return;
+				}
+
+				if (getState() === LinkState.Partitioned || instance.stalled || this.#random() < this.lossProbability) {
+					return;
+				}
+
+				this.arrivals.set(instanceName, (this.arrivals.get(instanceName) ?? 0) + 1);
+				const value = operation(instance);
+				this.#timers.schedule(this.oneWayMilliseconds, () => {
+					if (getState() === LinkState.Working && this.#random() >= this.lossProbability) {
+						limit[Symbol.dispose]();
+						resolve(ok(value));
+					}
+				});
+			});
+		});
+	}
+}
+
+/** Compares two instances by their logs, greatest first. */
+export function compareLogs(left: SimulatedInstance, right: SimulatedInstance): number {
+	return compareLogPositions(right.getStatus(0, 0).position, left.getStatus(0, 0).position);
+}
--- /dev/null
+++ b/packages/daemon/tests/request/failover/simulated-host.ts
@@ -0,0 +1,184 @@
+import {
+	type Configuration, type GroupDefinition, type Metrics, type TimerService,
+} from '@tarragonstack/core';
+import {
+	type ConfigurationSnapshot, type ConfigurationStore, GroupMonitor, type GroupOwnership, InstanceControlDirectory,
+	MajorityTermConfirmation, Promoter,
+} from '../../../src/index.js';
+import {type SimulatedGroup, SimulatedInstanceControl, type SimulatedTransport} from './simulated-group.js';
+
+/** Creates the definition of a group with the given number of instances, named `db-1`, `db-2` and so on. */
+export function createGroupDefinition(members: number): GroupDefinition {
+	return {
+		name: 'group-1',
+		instances: Array.from({length: members}, (_, index) => ({
+			name: `db-${index + 1}`,
+			address: `127.0.1.${index + 1}:5432`,
+			availabilityZone: 'a',
+			slots: 3,
+			connectionLimit: 20,
+			leaving: false,
+		})),
+	};
+}
+
+function createStore(group: GroupDefinition): ConfigurationStore {
+	const configuration: Configuration = {
+		version: 1, changeIdentifier: 'test', author: 'test', time: '2026-01-01T00:00:00Z', contracts: [], groups: [group],
+	};
+	const snapshot: ConfigurationSnapshot = {
+		configuration,
+		version: 1,
+		getContract: () => undefined,
+		getContractOfUser: () => undefined,
+		getGroup: name => name === group.name ? group : undefined,
+		getInstance(name) {
+			const instance = group.instances.find(definition => definition.name === name);
+			return instance && {group, instance};
+		},
+	};
+	return {
+		getCurrent: () => snapshot,
+		subscribe: () => ({[Symbol.dispose]() {}}),
+	};
+}
+
+/** Timer service of one host, which can be paused as a whole. Calls that become due meanwhile run when it resumes. */
+export class PausableTimerService implements TimerService {
+	paused = false;
+	readonly #timers: TimerService;
+	readonly #held: Array<() => void> = [];
+
+	constructor(timers: TimerService) {
+		this.#timers = timers;
+	}
+
+	now(): number {
+		return this.#timers.now();
+	}
+
+	async sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+		await this.#timers.sleep(milliseconds, signal);
+		await this.waitUntilResumed();
+	}
+
+	subscribe(intervalMilliseconds: number, callback: (now: number) => void): Disposable {
+		return this.#timers.subscribe(intervalMilliseconds, () => {
+			this.#run(() => {
+				callback(this.now());
+			});
+		});
+	}
+
+	schedule(delayMilliseconds: number, callback: () => void): Disposable {
+		return this.#timers.schedule(delayMilliseconds, () => {
+			this.#run(callback);
+		});
+	}
+
+	async waitUntilResumed(): Promise<void> {
+		if (this.paused) {
+			await new Promise<void>(resolve => {
+				this.#held.push(resolve);
+			});
+		}
+	}
+
+	resume(): void {
+		this.paused = false;
+		for (const callback of this.#held.splice(0)) {
+			callback();
+		}
+	}
+
+	#run(callback: () => void): void {
+		if (this.paused) {
+			this.#held.push(callback);
+		} else {
+			callback();
+		}
+	}
+}
+
+/** Counts metrics by name. */
+export class CountingMetrics implements Metrics {
+	readonly counts = new Map<string, number>();
+
+	increment(name: string, value: number): void {
+		this.counts.set(name, (this.counts.get(name) ?? 0) + value);
+	}
+
+	histogram(): void {}
+
+	gauge(): void {}
+}
+
+/** The failover modules of one host over a simulated transport. */
+export class SimulatedHost {
+	readonly name: string;
+	readonly timers: PausableTimerService;
+	readonly metrics = new CountingMetrics();
+	readonly controls: InstanceControlDirectory;
+	readonly monitor: GroupMonitor;
+	readonly confirmation: MajorityTermConfirmation;
+	readonly promoter: Promoter;
+
+	constructor(options: {
+		readonly name: string;
+		readonly order: number;
+		readonly timers: TimerService;
+		readonly definition: GroupDefinition;
+		readonly group: SimulatedGroup;
+		readonly transport: SimulatedTransport;
+		readonly random?: () => number;
+	}) {
+		const {name, order, definition, group, transport} = options;
+		this.name = name;
+		this.timers = new PausableTimerService(options.timers);
+		const {timers} = this;
+		// Answers, like timers, reach a paused host only when it resumes.
+		const pausable: SimulatedTransport = {
+			async call(host, instance, operation, callOptions) {
+				const result = await transport.call(host, instance, operation, callOptions);
+				await timers.waitUntilResumed();
+				return result;
+			},
+		};
+		this.controls = new InstanceControlDirectory(instance =>
+			new SimulatedInstanceControl(group, timers, pausable, {host: name, instance: instance.name}));
+		const ownership: GroupOwnership = {
+			getPromotionOrder: () => order,
+			getOwnedInstances: () => definition.instances.slice(0, 1).map(instance => instance.name),
+			subscribe: () => ({[Symbol.dispose]() {}}),
+		};
+		const configuration = createStore(definition);
+		this.monitor = new GroupMonitor({
+			timers, configuration, ownership, controls: this.controls,
+		});
+		this.confirmation = new MajorityTermConfirmation({
+			timers,
+			configuration,
+			controls: this.controls,
+			onStatus: (groupName, status) => {
+				this.monitor.observe(groupName, status);
+			},
+		});
+		this.promoter = new Promoter({
+			hostName: name,
+			timers,
+			monitor: this.monitor,
+			ownership,
+			controls: this.controls,
+			metrics: this.metrics,
+			random: options.random ?? (() => 0.5),
+		});
+	}
+
+	/** Ends the host as a crash would: nothing further is sent. */
+	async stop(): Promise<void> {
+		this.promoter[Symbol.dispose]();
+		this.confirmation[Symbol.dispose]();
+		await this.monitor[Symbol.asyncDispose]();
+		await this.controls[Symbol.asyncDispose]();
+	}
+}
