Test the adapters, peer links, directory, ownership and configuration store

Change: tables of failure cases with in-process fakes and a manual clock. Found and corrected by them: the source address of calls to etcd and Consul was ignored; a host that peers report as live but that this host cannot reach changed its state again and again (own experience now takes precedence); records of the list were never passed on.

--- a/packages/core/src/adapters/consul-membership-list.ts
+++ b/packages/core/src/adapters/consul-membership-list.ts
@@ -59,7 +59,8 @@
 		this.#services = options.services ?? defaultServiceNames;
 		this.#pool = new Pool(options.url, {
 			connections: 2,
-			connect: {timeout: 1000, ...(options.localAddress && {localAddress: options.localAddress})},
+			connect: {timeout: 1000},
+			...(options.localAddress && {localAddress: options.localAddress}),
 		});
 	}
 
--- a/packages/core/src/adapters/etcd-key-value-service.ts
+++ b/packages/core/src/adapters/etcd-key-value-service.ts
@@ -60,7 +60,8 @@
 	constructor(options: EtcdKeyValueServiceOptions) {
 		this.#pool = new Pool(options.url, {
 			connections: 4,
-			connect: {timeout: connectTimeoutMilliseconds, ...(options.localAddress && {localAddress: options.localAddress})},
+			connect: {timeout: connectTimeoutMilliseconds},
+			...(options.localAddress && {localAddress: options.localAddress}),
 		});
 	}
 
--- a/packages/daemon/src/process/membership/fleet-directory.ts
+++ b/packages/daemon/src/process/membership/fleet-directory.ts
@@ -21,8 +21,8 @@
 /** Records in one message. With the fixed fields a message stays below 1 KB. */
 const maximumEntries = 8;
 
-/** Fleet size up to which a new neighbour receives all records. In a larger fleet the list supplies the live hosts. */
-const fullExchangeHosts = 64;
+/** Fleet size up to which records of seeds and of the list are passed on. In a larger fleet each host reads the list. */
+const passedOnHosts = 64;
 
 /** Heartbeat rounds between two attempts to reach an unreachable host, so that a healed partition is noticed. */
 const roundsPerRecoveryAttempt = 5;
@@ -71,7 +71,7 @@
 
 type StoredRecord = {
 	record: HostRecord;
-	/** Sequence of the last change on this host; 0 for records that only seeds or the list gave. */
+	/** Sequence of the last change on this host; 0 for records that are not passed on. */
 	sequence: number;
 	changedAt: number;
 };
@@ -90,15 +90,15 @@
  * Hosts of the fleet, kept by heartbeats whose contents spread changes (as SWIM does).
  *
  * Control traffic of one host, sent and received, with m monitored peers and an interval of t seconds: an exchange is a
- * request of 32 bytes, a reply of 24 bytes and an acknowledgement, each with 52 bytes of TCP and IP headers, and 44 bytes
- * for TLS, which makes 256 bytes. A host takes part in m exchanges as caller and in m as callee per interval:
+ * request of 36 bytes, a reply of 26 bytes and an acknowledgement, each with 52 bytes of TCP and IP headers, and 44 bytes
+ * for TLS, which makes 262 bytes. A host takes part in m exchanges as caller and in m as callee per interval:
  *
- *     heartbeats = 2 m 256 / t                            480 hosts: m = 4, t = 1.2 s    1,707 bytes/s
+ *     heartbeats = 2 m 262 / t                            480 hosts: m = 4, t = 1.2 s    1,747 bytes/s
  *     list       = (hosts + databases) 500 / interval     1,580 entries, 821 s             962 bytes/s
- *     changes    = changes/s 2 m (256 + 60)               2,200 changes a day               64 bytes/s
+ *     changes    = changes/s 2 m (262 + 60)               2,200 changes a day               66 bytes/s
  *     versions   = versions/s 2 2,000                     1,800 versions a day              83 bytes/s
  *
- * The sum at 480 hosts is 2,816 bytes/s. The interval grows from 100 ms at 48 hosts to 1.2 s at 480 hosts.
+ * The sum at 480 hosts is 2,858 bytes/s. The interval grows from 100 ms at 48 hosts to 1.2 s at 480 hosts.
  */
 export class FleetDirectory implements HostDirectory, Disposable {
 	/** @inheritdoc */
@@ -112,6 +112,8 @@
 	readonly #inFlight = new Set<string>();
 	/** Hosts that are not monitored but must be checked because a link to them ended. */
 	readonly #suspects = new Set<string>();
+	/** Hosts that this host itself found unreachable. Its own experience takes precedence over what peers report. */
+	readonly #failed = new Set<string>();
 	readonly #listAddresses = new Map<string, string>();
 	readonly #listeners = new Set<() => void>();
 	readonly #subscriptions: Disposable[] = [];
@@ -134,11 +136,10 @@
 		this.#options = options;
 		this.#random = options.random ?? Math.random;
 		this.ownName = options.own.name;
-		for (const seed of [options.own, ...options.seeds]) {
-			this.#records.set(seed.name, {record: {...seed, incarnation: 0, state: HostState.Live}, sequence: 0, changedAt: 0});
+		for (const seed of [...options.seeds, options.own]) {
+			this.#addUnconfirmed({...seed, incarnation: 0, state: HostState.Live});
 		}
 
-		this.#records.set(this.ownName, {record: {...options.own, incarnation: 0, state: HostState.Live}, sequence: 0, changedAt: 0});
 		this.#chooseMonitored();
 	}
 
@@ -177,7 +178,8 @@
 			return undefined;
 		}
 
-		const {availabilityZone, peerAddress, state} = stored.record;
+		const {availabilityZone, peerAddress} = stored.record;
+		const state = this.#getState(stored.record);
 		return {
 			name,
 			availabilityZone,
@@ -228,10 +230,21 @@
 		}
 	}
 
+	/** Adds a host that no peer has reported yet. */
+	#addUnconfirmed(record: HostRecord): void {
+		const passedOn = this.#records.size < passedOnHosts;
+		this.#sequence += Number(passedOn);
+		this.#records.set(record.name, {record, sequence: passedOn ? this.#sequence : 0, changedAt: this.#options.timerService.now()});
+	}
+
 	#getOwn(): StoredRecord {
 		return this.#records.get(this.ownName)!;
 	}
 
+	#getState(record: HostRecord): HostState {
+		return this.#failed.has(record.name) ? HostState.Unreachable : record.state;
+	}
+
 	#tick(): void {
 		const now = this.#options.timerService.now();
 		this.#detectPause(now);
@@ -274,7 +287,7 @@
 	}
 
 	#attemptRecovery(): void {
-		const unreachable = [...this.#records.values()].filter(({record}) => record.state === HostState.Unreachable);
+		const unreachable = [...this.#records.values()].filter(({record}) => this.#getState(record) === HostState.Unreachable);
 		const chosen = unreachable[Math.floor(this.#random() * unreachable.length)];
 		if (chosen) {
 			void this.#exchange(chosen.record.name);
@@ -299,6 +312,11 @@
 		if (reply.isOk() && this.#receive(peer, reply.value)) {
 			this.#misses.delete(peer);
 			this.#suspects.delete(peer);
+			if (this.#failed.delete(peer)) {
+				this.#chooseMonitored();
+				this.#notify();
+			}
+
 			return;
 		}
 
@@ -320,10 +338,17 @@
 		this.#misses.delete(peer);
 		this.#suspects.delete(peer);
 		const stored = this.#records.get(peer);
-		if (stored && stored.record.state !== HostState.Unreachable) {
-			this.#options.logger.warn({peer, cause}, 'host is unreachable');
-			this.#store({...stored.record, state: HostState.Unreachable});
+		if (!stored || this.#failed.has(peer)) {
+			return;
+		}
+
+		this.#options.logger.warn({peer, cause}, 'host is unreachable');
+		this.#failed.add(peer);
+		if (stored.record.state === HostState.Unreachable) {
+			return;
 		}
+
+		this.#store({...stored.record, state: HostState.Unreachable});
 	}
 
 	#takeExperience(peer: string, experience: PeerExperience): void {
@@ -335,10 +360,10 @@
 		if (experience === PeerExperience.Refused) {
 			this.#markUnreachable(peer, 'connection refused');
 		} else if (experience === PeerExperience.Connected) {
-			if (stored.record.state === HostState.Unreachable) {
+			if (this.#getState(stored.record) === HostState.Unreachable) {
 				void this.#exchange(peer);
 			}
-		} else if (stored.record.state !== HostState.Unreachable) {
+		} else if (this.#getState(stored.record) !== HostState.Unreachable) {
 			this.#suspects.add(peer);
 			void this.#exchange(peer);
 		}
@@ -415,6 +440,10 @@
 		const merged = mergeHostRecords(known, received);
 		if (merged !== known) {
 			this.#store(merged);
+			if (this.#failed.has(received.name) && merged.state !== HostState.Unreachable) {
+				// The host lives for others. It may have restarted, or only this host cannot reach it.
+				void this.#exchange(received.name);
+			}
 		}
 	}
 
@@ -446,7 +475,7 @@
 	}
 
 	#chooseMonitored(): void {
-		const reachable = [...this.#records.values()].filter(({record}) => record.state !== HostState.Unreachable);
+		const reachable = [...this.#records.values()].filter(({record}) => this.#getState(record) !== HostState.Unreachable);
 		this.#monitored = chooseMonitoredPeers(this.ownName, reachable.map(({record}) => record.name));
 	}
 
@@ -478,12 +507,8 @@
 			if (!this.#records.has(member.name)) {
 				changed = true;
 				const state = member.state === MemberState.Leaving ? HostState.Leaving : HostState.Live;
-				this.#records.set(member.name, {
-					record: {
-						name: member.name, availabilityZone: member.availabilityZone, peerAddress: member.address, incarnation: 0, state,
-					},
-					sequence: 0,
-					changedAt: this.#options.timerService.now(),
+				this.#addUnconfirmed({
+					name: member.name, availabilityZone: member.availabilityZone, peerAddress: member.address, incarnation: 0, state,
 				});
 			}
 		}
@@ -503,6 +528,7 @@
 			if (record.state === HostState.Unreachable && changedAt < before && !this.#listAddresses.has(name) && !seeds.has(name)) {
 				this.#records.delete(name);
 				this.#neighbours.delete(name);
+				this.#failed.delete(name);
 				this.#versions.delete(name);
 				changed = true;
 			}
--- a/packages/daemon/tests/connection/peer/peer-fleet.ts
+++ b/packages/daemon/tests/connection/peer/peer-fleet.ts
@@ -5,6 +5,15 @@
 
 export const logger = createLogger({host: 'test'});
 
+/** Creates a promise with the function that resolves it. */
+export function createGate(): {readonly promise: Promise<void>; readonly resolve: () => void} {
+	let resolve = () => {};
+	const promise = new Promise<void>(resolvePromise => {
+		resolve = resolvePromise;
+	});
+	return {promise, resolve};
+}
+
 /** Counts metrics by name. */
 export class CountingMetrics implements Metrics {
 	readonly counts = new Map<MetricName, number>();
--- a/packages/daemon/tests/connection/peer/tcp-peer-network.test.ts
+++ b/packages/daemon/tests/connection/peer/tcp-peer-network.test.ts
@@ -1,9 +1,45 @@
-import {describe, expect, it} from 'vitest';
-import {Verdict} from '@tarragonstack/core';
-import {PeerMessageKind} from '../../../src/index.js';
-import {PeerFleet} from './peer-fleet.js';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {copyFile, mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {connect, createServer, type Socket} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+	afterAll, beforeAll, describe, expect, it, vi,
+} from 'vitest';
+import {
+	encodeFrame, FrameDecoder, SystemTimerService, Verdict,
+} from '@tarragonstack/core';
+import {PeerExperience, PeerKeys, PeerMessageKind} from '../../../src/index.js';
+import {peerProtocolVersion, PeerFrameType} from '../../../src/connection/peer/peer-frame.js';
+import {isRefused, takeError, takeValue, takeVerdict} from '../../results.js';
+import {
+	createGate, logger, PeerFleet, type TestPeer,
+} from './peer-fleet.js';
 
 const timeoutMilliseconds = 2000;
+const kind = PeerMessageKind.ReadIndex;
+
+/** Opens a raw connection that claims to be the host `right`, and collects the frames that arrive. */
+async function connectRaw({network}: TestPeer): Promise<{socket: Socket; frames: unknown[][]; send: (...frames: unknown[]) => void}> {
+	const socket = connect(network.port, '127.0.0.1');
+	const decoder = new FrameDecoder();
+	const frames: unknown[][] = [];
+	socket.on('data', chunk => {
+		frames.push(...decoder.push(chunk)._unsafeUnwrap() as unknown[][]);
+	});
+	socket.on('error', () => {});
+	await once(socket, 'connect');
+	return {
+		socket,
+		frames,
+		send(...values) {
+			socket.write(Buffer.concat(values.map(value => Buffer.isBuffer(value) ? value : encodeFrame(value))));
+		},
+	};
+}
+
+const hello = [PeerFrameType.Hello, peerProtocolVersion, 'right'];
 
 describe('TcpPeerNetwork', () => {
 	it('answers calls in both directions over links that both sides open at once', async () => {
@@ -11,25 +47,348 @@
 		const left = await fleet.start('left');
 		const right = await fleet.start('right');
 		for (const {network} of [left, right]) {
-			network.handle(PeerMessageKind.ReadIndex, async (body, {peer}) => ({body, peer}));
+			network.handle(kind, async (body, {peer}) => ({body, peer}));
 		}
 
-		const replies = await Promise.all([
-			left.network.call('right', PeerMessageKind.ReadIndex, 1, {timeoutMilliseconds}),
-			right.network.call('left', PeerMessageKind.ReadIndex, 2, {timeoutMilliseconds}),
-		]);
-		expect(replies.map(reply => reply._unsafeUnwrap())).toEqual([{body: 1, peer: 'left'}, {body: 2, peer: 'right'}]);
+		for (let round = 0; round < 20; round++) {
+			const replies = await Promise.all([
+				left.network.call('right', kind, round, {timeoutMilliseconds}),
+				right.network.call('left', kind, -1 - round, {timeoutMilliseconds}),
+			]);
+			expect(replies.map(reply => reply._unsafeUnwrap())).toEqual([{body: round, peer: 'left'}, {body: -1 - round, peer: 'right'}]);
+		}
 	});
 
 	it('reports a refused connection as not run and then fails at once', async () => {
 		await using fleet = new PeerFleet();
 		const {network} = await fleet.start('left');
 		fleet.addresses.set('right', '127.0.0.1:1');
-		const first = await network.call('right', PeerMessageKind.ReadIndex, 1, {timeoutMilliseconds});
+		const experiences: PeerExperience[] = [];
+		using _ = network.subscribeToExperiences((host, experience) => {
+			experiences.push(experience);
+		});
+		const first = await network.call('right', kind, 1, {timeoutMilliseconds});
 		expect(first._unsafeUnwrapErr().verdict).toBe(Verdict.NotRun);
+		expect(experiences).toEqual([PeerExperience.Refused]);
 		const startedAt = performance.now();
-		const second = await network.call('right', PeerMessageKind.ReadIndex, 1, {timeoutMilliseconds});
+		const second = await network.call('right', kind, 1, {timeoutMilliseconds});
 		expect(second._unsafeUnwrapErr().verdict).toBe(Verdict.NotRun);
 		expect(performance.now() - startedAt).toBeLessThan(50);
 	});
+
+	it('reaches a peer again after it returned', async () => {
+		await using fleet = new PeerFleet();
+		const {network} = await fleet.start('left');
+		fleet.addresses.set('right', '127.0.0.1:1');
+		expect(await isRefused(network.call('right', kind, 1, {timeoutMilliseconds}))).toBe(true);
+		const right = await fleet.start('right');
+		right.network.handle(kind, async () => 'back');
+		await vi.waitFor(async () => {
+			expect(await takeValue(network.call('right', kind, 1, {timeoutMilliseconds}))).toBe('back');
+		}, {timeout: 5000});
+	});
+
+	it('reports a handler that throws as possibly run and a missing handler as not run', async () => {
+		await using fleet = new PeerFleet();
+		const left = await fleet.start('left');
+		const right = await fleet.start('right');
+		right.network.handle(kind, async () => {
+			throw new Error('broken');
+		});
+		const thrown = await takeError(left.network.call('right', kind, 1, {timeoutMilliseconds}));
+		expect(thrown).toEqual({verdict: Verdict.MayHaveRun, message: 'broken'});
+		const missing = await takeError(left.network.call('right', PeerMessageKind.SubmitRequest, 1, {timeoutMilliseconds}));
+		expect(missing.verdict).toBe(Verdict.NotRun);
+	});
+
+	it('ends a call at its time limit, tells the handler, and drops the late reply', async () => {
+		await using fleet = new PeerFleet();
+		const left = await fleet.start('left');
+		const right = await fleet.start('right');
+		const aborted = createGate();
+		right.network.handle(kind, async (_body, {signal}) => {
+			await once(signal, 'abort');
+			aborted.resolve();
+			return 'late';
+		});
+		const error = await takeError(left.network.call('right', kind, 1, {timeoutMilliseconds: 50}));
+		expect(error.verdict).toBe(Verdict.MayHaveRun);
+		await aborted.promise;
+		await vi.waitFor(() => {
+			expect(left.metrics.late).toBe(1);
+		});
+	});
+
+	it('holds a handler back while the receiver of its chunks is slow, and delivers all bytes in order', async () => {
+		await using fleet = new PeerFleet();
+		const left = await fleet.start('left');
+		const right = await fleet.start('right');
+		const chunks = 64;
+		let written = 0;
+		right.network.handle(kind, async (_body, {write}) => {
+			for (let index = 0; index < chunks; index++) {
+				await write(Buffer.alloc(65_536, index));
+				written++;
+			}
+
+			return written;
+		});
+		const release = createGate();
+		const received: number[] = [];
+		const call = left.network.call('right', kind, 1, {
+			timeoutMilliseconds: 10_000,
+			async onChunk(chunk) {
+				await release.promise;
+				received.push(chunk[0]!);
+			},
+		});
+		await vi.waitFor(() => {
+			expect(written).toBe(4);
+		});
+		// The link stays usable for other calls while the stream is held back.
+		right.network.handle(PeerMessageKind.PrimaryChanged, async () => 'free');
+		for (let round = 0; round < 20; round++) {
+			expect(await takeValue(left.network.call('right', PeerMessageKind.PrimaryChanged, 1, {timeoutMilliseconds}))).toBe('free');
+		}
+
+		expect(written).toBe(4);
+		release.resolve();
+		expect(await takeValue(call)).toBe(chunks);
+		expect(received).toEqual(Array.from({length: chunks}, (_, index) => index));
+	});
+
+	it('refuses calls when the outgoing queue is full, before the message reaches the peer', async () => {
+		await using fleet = new PeerFleet();
+		const left = await fleet.start('left');
+		const raw = createServer(socket => {
+			// The peer says hello and then reads nothing more.
+			socket.once('data', () => {
+				socket.pause();
+				socket.write(encodeFrame(hello));
+			});
+			socket.on('error', () => {});
+		}).listen(0, '127.0.0.1');
+		await once(raw, 'listening');
+		fleet.addresses.set('right', `127.0.0.1:${(raw.address() as {port: number}).port}`);
+		const calls = Array.from({length: 40}, () => left.network.call('right', kind, Buffer.alloc(1_000_000), {timeoutMilliseconds}));
+		const verdicts = await Promise.all(calls.map(async call => takeVerdict(call)));
+		expect(verdicts).toContain(Verdict.NotRun);
+		expect(verdicts[0]).toBe(Verdict.MayHaveRun);
+		raw.close();
+	});
+
+	it.each([
+		{bytes: () => Buffer.from('GET / HTTP/1.1\r\n\r\n'), guards: 'a client of another protocol'},
+		{bytes: () => encodeFrame(['hello']), guards: 'a first frame that is not a hello'},
+		{bytes: () => encodeFrame([PeerFrameType.Hello, peerProtocolVersion, 'nobody']), guards: 'an unknown host name'},
+		{bytes: () => encodeFrame([PeerFrameType.Hello, peerProtocolVersion + 2, 'right']), guards: 'a protocol version that is too new'},
+		{bytes: () => Buffer.concat([encodeFrame(hello), encodeFrame(hello)]), guards: 'a repeated hello'},
+		{bytes: () => Buffer.concat([encodeFrame(hello), encodeFrame([PeerFrameType.Call, 'one', kind, 1, 0])]), guards: 'a frame with a field of another type'},
+		{bytes: () => Buffer.concat([encodeFrame(hello), encodeFrame({type: 1})]), guards: 'a frame of another form'},
+		{bytes: () => Buffer.concat([encodeFrame(hello), Buffer.from([0xFF, 0xFF, 0xFF, 0xFF])]), guards: 'a length beyond the limit'},
+		{bytes: () => Buffer.concat([encodeFrame(hello), Buffer.from([0, 0, 0, 2, 0xFF, 0xFF])]), guards: 'a frame that is not CBOR'},
+		{bytes: () => Buffer.concat([hello, ...[1, 2].map(() => [PeerFrameType.Call, 2, kind, 1, 0])].map(frame => encodeFrame(frame))), guards: 'a call identifier that is used twice'},
+	])('closes the connection and counts $guards', async ({bytes}) => {
+		await using fleet = new PeerFleet();
+		const left = await fleet.start('left');
+		fleet.addresses.set('right', '127.0.0.1:1');
+		left.network.handle(kind, async () => 'answer');
+		const raw = await connectRaw(left);
+		const closed = once(raw.socket, 'close');
+		raw.send(bytes());
+		await closed;
+		expect(left.metrics.refused).toBe(1);
+	});
+
+	it.each([
+		{version: peerProtocolVersion - 1, guards: 'a host of the previous protocol version'},
+		{version: peerProtocolVersion + 1, guards: 'a host of the next protocol version'},
+	])('talks to $guards', async ({version}) => {
+		await using fleet = new PeerFleet();
+		const left = await fleet.start('left');
+		const right = await fleet.start('right', {protocolVersion: version});
+		right.network.handle(kind, async () => 'answer');
+		expect(await takeValue(left.network.call('right', kind, 1, {timeoutMilliseconds}))).toBe('answer');
+	});
+
+	it('drops and counts a duplicate reply', async () => {
+		await using fleet = new PeerFleet();
+		const left = await fleet.start('left');
+		fleet.addresses.set('right', '127.0.0.1:1');
+		const raw = await connectRaw(left);
+		raw.send(hello);
+		await vi.waitFor(() => {
+			expect(raw.frames).toHaveLength(1);
+		});
+		const call = left.network.call('right', kind, 'question', {timeoutMilliseconds});
+		await vi.waitFor(() => {
+			expect(raw.frames).toHaveLength(2);
+		});
+		const identifier = raw.frames[1]![1];
+		raw.send([PeerFrameType.Reply, identifier, 'first'], [PeerFrameType.Reply, identifier, 'second']);
+		expect(await takeValue(call)).toBe('first');
+		await vi.waitFor(() => {
+			expect(left.metrics.late).toBe(1);
+		});
+		raw.socket.destroy();
+	});
+
+	it('ends calls with an unknown outcome and aborts handlers when the link is lost', async () => {
+		await using fleet = new PeerFleet();
+		const left = await fleet.start('left');
+		fleet.addresses.set('right', '127.0.0.1:1');
+		const aborted = createGate();
+		left.network.handle(kind, async (_body, {signal}) => {
+			await once(signal, 'abort');
+			aborted.resolve();
+		});
+		const raw = await connectRaw(left);
+		raw.send(hello, [PeerFrameType.Call, 1, kind, 1, 0]);
+		await vi.waitFor(() => {
+			expect(raw.frames).toHaveLength(1);
+		});
+		const call = left.network.call('right', kind, 'question', {timeoutMilliseconds});
+		await vi.waitFor(() => {
+			expect(raw.frames).toHaveLength(2);
+		});
+		raw.socket.destroy();
+		expect(await takeVerdict(call)).toBe(Verdict.MayHaveRun);
+		await aborted.promise;
+	});
+
+	it('closes a link that is silent while a call is outstanding, so that a partition is noticed', async () => {
+		await using fleet = new PeerFleet();
+		const left = await fleet.start('left');
+		fleet.addresses.set('right', '127.0.0.1:1');
+		const raw = await connectRaw(left);
+		raw.send(hello);
+		await vi.waitFor(() => {
+			expect(raw.frames).toHaveLength(1);
+		});
+		const startedAt = performance.now();
+		const result = await left.network.call('right', kind, 'question', {timeoutMilliseconds: 5000});
+		const elapsed = performance.now() - startedAt;
+		expect(result._unsafeUnwrapErr().verdict).toBe(Verdict.MayHaveRun);
+		expect(elapsed).toBeGreaterThan(250);
+		expect(elapsed).toBeLessThan(1000);
+		expect(raw.frames.map(frame => frame[0])).toContain(PeerFrameType.Ping);
+		raw.socket.destroy();
+	});
+
+	it('keeps a link whose peer answers probes while a call takes long', async () => {
+		await using fleet = new PeerFleet();
+		const left = await fleet.start('left');
+		const right = await fleet.start('right');
+		right.network.handle(kind, async () => {
+			await fleet.timerService.sleep(700);
+			return 'slow';
+		});
+		expect(await takeValue(left.network.call('right', kind, 1, {timeoutMilliseconds}))).toBe('slow');
+	});
+});
+
+describe('TcpPeerNetwork with TLS', () => {
+	let directory = '';
+	const file = (name: string) => path.join(directory, name);
+	const newKey = '-newkey ec -pkeyopt ec_paramgen_curve:prime256v1 -nodes';
+
+	async function openssl(command: string): Promise<void> {
+		const [code] = await once(spawn('openssl', command.split(' '), {stdio: 'ignore'}), 'close');
+		expect(code).toBe(0);
+	}
+
+	/** Creates a certificate that the given authority signs. */
+	async function createKeys(name: string, authority: string, hostName: string): Promise<void> {
+		const request = file(`${name}.csr`);
+		await openssl(`req ${newKey} -keyout ${file(`${name}.key`)} -out ${request} -subj /CN=${hostName}`);
+		await openssl(`x509 -req -in ${request} -CA ${file(`${authority}.pem`)} -CAkey ${file(`${authority}.key`)} -CAcreateserial -days 2 -out ${file(`${name}.pem`)}`);
+	}
+
+	async function createAuthority(name: string): Promise<void> {
+		await openssl(`req -x509 ${newKey} -keyout ${file(`${name}.key`)} -out ${file(`${name}.pem`)} -subj /CN=${name} -days 2`);
+	}
+
+	async function load(name: string, authority: string): Promise<PeerKeys> {
+		return PeerKeys.load({certificateFile: file(`${name}.pem`), keyFile: file(`${name}.key`), authorityFile: file(`${authority}.pem`)}, new SystemTimerService(), logger);
+	}
+
+	beforeAll(async () => {
+		directory = await mkdtemp(path.join(tmpdir(), 'peer-keys-'));
+		await createAuthority('authority');
+		await createAuthority('stranger');
+		await createKeys('left', 'authority', 'left');
+		await createKeys('right', 'authority', 'right');
+		await createKeys('other', 'authority', 'other');
+		await createKeys('unknown', 'stranger', 'right');
+	});
+
+	afterAll(async () => {
+		await rm(directory, {recursive: true});
+	});
+
+	it('connects hosts whose certificates the authority signed', async () => {
+		await using fleet = new PeerFleet();
+		using leftKeys = await load('left', 'authority');
+		using rightKeys = await load('right', 'authority');
+		const left = await fleet.start('left', {keys: leftKeys});
+		const right = await fleet.start('right', {keys: rightKeys});
+		right.network.handle(kind, async () => 'secret');
+		expect(await takeValue(left.network.call('right', kind, 1, {timeoutMilliseconds}))).toBe('secret');
+	});
+
+	it.each([
+		{name: 'unknown', guards: 'a key of another authority'},
+		{name: 'other', guards: 'a certificate of another host'},
+	])('refuses $guards in both directions', async ({name}) => {
+		await using fleet = new PeerFleet();
+		using leftKeys = await load('left', 'authority');
+		using wrongKeys = await load(name, 'authority');
+		const left = await fleet.start('left', {keys: leftKeys});
+		const right = await fleet.start('right', {keys: wrongKeys});
+		left.network.handle(kind, async () => 'secret');
+		right.network.handle(kind, async () => 'secret');
+		expect(await takeVerdict(left.network.call('right', kind, 1, {timeoutMilliseconds}))).toBe(Verdict.NotRun);
+		expect(await takeVerdict(right.network.call('left', kind, 1, {timeoutMilliseconds}))).toBe(Verdict.NotRun);
+		await vi.waitFor(() => {
+			expect(left.metrics.refused).toBeGreaterThan(0);
+		});
+	});
+
+	it('refuses a client without TLS', async () => {
+		await using fleet = new PeerFleet();
+		using leftKeys = await load('left', 'authority');
+		const left = await fleet.start('left', {keys: leftKeys});
+		const raw = connect(left.network.port, '127.0.0.1');
+		raw.on('error', () => {});
+		raw.write(encodeFrame(hello));
+		raw.resume();
+		await once(raw, 'close');
+		expect(left.metrics.refused).toBe(1);
+	});
+
+	it('uses changed key files without a restart, and keeps the former keys while the files do not match', async () => {
+		await using fleet = new PeerFleet();
+		await copyFile(file('unknown.pem'), file('changing.pem'));
+		await copyFile(file('unknown.key'), file('changing.key'));
+		using leftKeys = await load('left', 'authority');
+		using changingKeys = await load('changing', 'authority');
+		const left = await fleet.start('left', {keys: leftKeys});
+		const right = await fleet.start('right', {keys: changingKeys});
+		right.network.handle(kind, async () => 'secret');
+		expect(await isRefused(left.network.call('right', kind, 1, {timeoutMilliseconds}))).toBe(true);
+
+		const before = changingKeys.current;
+		await copyFile(file('right.pem'), file('changing.pem'));
+		await changingKeys.reload();
+		expect(changingKeys.current).toBe(before);
+		await writeFile(file('changing.key'), 'no key');
+		await changingKeys.reload();
+		expect(changingKeys.current).toBe(before);
+
+		await copyFile(file('right.key'), file('changing.key'));
+		await changingKeys.reload();
+		await vi.waitFor(async () => {
+			expect(await takeValue(left.network.call('right', kind, 1, {timeoutMilliseconds}))).toBe('secret');
+		}, {timeout: 5000});
+	});
 });
--- /dev/null
+++ b/packages/daemon/tests/process/membership/fake-peer-bus.ts
@@ -0,0 +1,94 @@
+import {
+	createLogger, ManualTimerService, Verdict, type TimerService,
+} from '@tarragonstack/core';
+import {err, ok} from 'neverthrow';
+import {
+	PeerExperience, type PeerCallOptions, type PeerExperienceListener, type PeerHandler, type PeerMessageKind, type PeerNetwork,
+} from '../../../src/index.js';
+
+export const logger = createLogger({host: 'test'});
+
+/** Timer service of one host whose event loop can be blocked. */
+export class PausableTimerService implements TimerService {
+	#skipped = 0;
+
+	constructor(private readonly inner: ManualTimerService) {}
+
+	now(): number {
+		return this.inner.now() + this.#skipped;
+	}
+
+	async sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+		return this.inner.sleep(milliseconds, signal);
+	}
+
+	subscribe(intervalMilliseconds: number, callback: (now: number) => void): Disposable {
+		return this.inner.subscribe(intervalMilliseconds, callback);
+	}
+
+	schedule(delayMilliseconds: number, callback: () => void): Disposable {
+		return this.inner.schedule(delayMilliseconds, callback);
+	}
+
+	/** Lets time pass for this host without any of its timers firing. */
+	block(milliseconds: number): void {
+		this.#skipped += milliseconds;
+	}
+}
+
+type Rule = (from: string, to: string) => boolean;
+
+/** Connects hosts of one test without sockets. Messages can be lost in either direction. */
+export class FakePeerBus {
+	readonly timerService = new ManualTimerService();
+	readonly #handlers = new Map<string, Map<PeerMessageKind, PeerHandler>>();
+	readonly #listeners = new Map<string, PeerExperienceListener>();
+
+	/** Messages that match are lost: the caller waits until its time limit. */
+	isLost: Rule = () => false;
+
+	connect(name: string): PeerNetwork & {subscribeToExperiences(listener: PeerExperienceListener): Disposable} {
+		const handlers = new Map<PeerMessageKind, PeerHandler>();
+		this.#handlers.set(name, handlers);
+		return {
+			call: async (host, kind, body, options) => this.#call(name, host, kind, {body, options}),
+			notify() {},
+			handle(kind, handler) {
+				handlers.set(kind, handler);
+			},
+			subscribeToExperiences: listener => {
+				this.#listeners.set(name, listener);
+				return {[Symbol.dispose]() {}};
+			},
+		};
+	}
+
+	remove(name: string): void {
+		this.#handlers.delete(name);
+	}
+
+	report(name: string, peer: string, experience: PeerExperience): void {
+		this.#listeners.get(name)?.(peer, experience);
+	}
+
+	async #call(from: string, to: string, kind: PeerMessageKind, {body, options}: {body: unknown; options: PeerCallOptions}) {
+		if (!this.#handlers.has(to)) {
+			this.report(from, to, PeerExperience.Refused);
+			return err({verdict: Verdict.NotRun, message: 'refused'});
+		}
+
+		const handler = this.#handlers.get(to)?.get(kind);
+		if (this.isLost(from, to) || !handler) {
+			await this.timerService.sleep(options.timeoutMilliseconds);
+			return err({verdict: Verdict.MayHaveRun, message: 'no reply'});
+		}
+
+		const reply = await handler(structuredClone(body), {peer: from, signal: new AbortController().signal, async write() {}});
+		if (this.isLost(to, from)) {
+			await this.timerService.sleep(options.timeoutMilliseconds);
+			return err({verdict: Verdict.MayHaveRun, message: 'no reply'});
+		}
+
+		return ok(structuredClone(reply));
+	}
+}
--- /dev/null
+++ b/packages/daemon/tests/version/fleet-configuration-store.test.ts
@@ -0,0 +1,309 @@
+import {
+	configurationKey, Rank, Verdict, type Configuration, type KeyValueEntry, type KeyValueService,
+} from '@tarragonstack/core';
+import {err, ok} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+import {
+	FleetConfigurationStore, FleetDirectory, PeerMessageKind, type PeerNetwork,
+} from '../../src/index.js';
+import {CountingMetrics} from '../connection/peer/peer-fleet.js';
+import {FakePeerBus, logger} from '../process/membership/fake-peer-bus.js';
+
+const terms = {
+	targetLatencyMilliseconds: 50, timeoutMilliseconds: 1000, maximumStalenessMilliseconds: 0, lateRefund: 1, floorShare: 0.1,
+};
+
+function createConfiguration(version: number, overrides: Record<string, unknown> = {}): Record<string, unknown> {
+	return {
+		version,
+		changeIdentifier: `change-${version}`,
+		author: 'test',
+		time: '2026-01-01T00:00:00Z',
+		contracts: ['ronquido', 'edredon'].map((customer, index) => ({
+			customer,
+			users: [{name: customer, passwordSha256: '0'.repeat(64)}],
+			groups: ['subs-core'],
+			weight: index === 0 ? version : 1,
+			defaultRank: Rank.Middle,
+			ranks: {[Rank.Urgent]: terms, [Rank.Middle]: terms, [Rank.Least]: terms},
+		})),
+		groups: [{name: 'subs-core', instances: [{name: 'a', address: '127.0.0.1:5432', availabilityZone: 'zone-1', slots: 3, connectionLimit: 20}]}],
+		...overrides,
+	};
+}
+
+/** Key-value service in memory that counts calls and can be down. */
+class FakeKeyValueService implements KeyValueService {
+	entry: KeyValueEntry | undefined;
+	isDown = false;
+	calls = 0;
+	readonly #wakers = new Set<() => void>();
+
+	set(value: unknown): void {
+		const text = typeof value === 'string' ? value : JSON.stringify(value);
+		this.entry = {value: text, revision: (this.entry?.revision ?? 0) + 1};
+		this.wake();
+	}
+
+	wake(): void {
+		for (const waker of this.#wakers) {
+			waker();
+		}
+	}
+
+	async get(key: string) {
+		this.calls++;
+		expect(key).toBe(configurationKey);
+		return this.isDown ? err({verdict: Verdict.NotRun, message: 'down'}) : ok(this.entry);
+	}
+
+	async compareAndSwap(): Promise<never> {
+		throw new Error('a host never writes the configuration');
+	}
+
+	async * watch(_key: string, afterRevision: number, signal: AbortSignal): AsyncIterable<KeyValueEntry> {
+		this.calls++;
+		let seen = afterRevision;
+		while (!signal.aborted) {
+			if (this.isDown) {
+				throw new Error('down');
+			}
+
+			if (this.entry && this.entry.revision > seen) {
+				seen = this.entry.revision;
+				yield this.entry;
+			} else {
+				await new Promise<void>(resolve => {
+					const finish = () => {
+						this.#wakers.delete(finish);
+						resolve();
+					};
+
+					this.#wakers.add(finish);
+					signal.addEventListener('abort', finish, {once: true});
+				});
+			}
+		}
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {}
+}
+
+type TestHost = {readonly directory: FleetDirectory; readonly store: FleetConfigurationStore; readonly network: PeerNetwork; readonly versions: number[]};
+
+/** Hosts with directory and store on one bus. */
+class TestFleet implements AsyncDisposable {
+	readonly bus = new FakePeerBus();
+	readonly service = new FakeKeyValueService();
+	readonly hosts = new Map<string, TestHost>();
+	queries: Array<{readonly base: number; readonly reply: Record<string, unknown>}> = [];
+
+	constructor(readonly count: number) {}
+
+	startAll(): this {
+		for (let index = 1; index <= this.count; index++) {
+			this.start(index);
+		}
+
+		return this;
+	}
+
+	start(index: number): TestHost {
+		const name = `host-${index}`;
+		const getSeed = (number: number) => ({name: `host-${number}`, availabilityZone: `zone-${number % 3}`, peerAddress: `127.0.0.${number % 250}:7000`});
+		const inner = this.bus.connect(name);
+		const network: typeof inner = {
+			...inner,
+			call: async (host, kind, body, options) => {
+				const reply = await inner.call(host, kind, body, options);
+				if (kind === PeerMessageKind.ConfigurationQuery && reply.isOk()) {
+					this.queries.push({...body as {base: number}, reply: reply.value as Record<string, unknown>});
+				}
+
+				return reply;
+			},
+		};
+		const {timerService} = this.bus;
+		const directory = new FleetDirectory({
+			own: getSeed(index), seeds: Array.from({length: this.count}, (_, seed) => getSeed(seed + 1)), network, timerService, logger,
+		});
+		const store = new FleetConfigurationStore({
+			availabilityZone: getSeed(index).availabilityZone, keyValueService: this.service, network, directory, timerService, logger, metrics: new CountingMetrics(),
+		});
+		const versions: number[] = [];
+		store.subscribe(snapshot => {
+			versions.push(snapshot.version);
+			directory.setConfigurationVersion(snapshot.version);
+		});
+		const host = {directory, store, network, versions};
+		this.hosts.set(name, host);
+		directory.start();
+		store.start();
+		return host;
+	}
+
+	getVersions(): Array<number | undefined> {
+		return [...new Set([...this.hosts.values()].map(({store}) => store.getCurrent()?.version))];
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await Promise.all([...this.hosts.values()].map(async ({directory, store}) => {
+			directory[Symbol.dispose]();
+			await Promise.all([store[Symbol.asyncDispose](), this.bus.timerService.advance(60_000)]);
+		}));
+	}
+}
+
+describe('FleetConfigurationStore', () => {
+	it('brings an accepted change into force on all hosts within a second', async () => {
+		await using fleet = new TestFleet(7).startAll();
+		fleet.service.set(createConfiguration(1));
+		await fleet.bus.timerService.advance(2000);
+		expect(fleet.getVersions()).toEqual([1]);
+		fleet.service.set(createConfiguration(2));
+		await fleet.bus.timerService.advance(1000);
+		expect(fleet.getVersions()).toEqual([2]);
+	});
+
+	it('spreads a version from a single host when the service is lost right after acceptance', async () => {
+		await using fleet = new TestFleet(7).startAll();
+		fleet.service.set(createConfiguration(1));
+		await fleet.bus.timerService.advance(2000);
+		fleet.service.isDown = true;
+		fleet.service.wake();
+		await fleet.bus.timerService.advance(1000);
+		const {network} = fleet.hosts.get('host-3')!;
+		// One watcher received the version before the outage.
+		fleet.hosts.get('host-3')!.directory.setConfigurationVersion(2);
+		network.handle(PeerMessageKind.ConfigurationQuery, async () => ({version: 2, record: JSON.stringify(createConfiguration(2))}));
+		await fleet.bus.timerService.advance(2000);
+		expect([...fleet.hosts].filter(([name]) => name !== 'host-3').map(([, {store}]) => store.getCurrent()?.version)).toEqual([2, 2, 2, 2, 2, 2]);
+	});
+
+	it('sends differences to peers that have the base, with the same result as the full record', async () => {
+		await using fleet = new TestFleet(7).startAll();
+		fleet.service.set(createConfiguration(1));
+		await fleet.bus.timerService.advance(2000);
+		fleet.queries = [];
+		const instance = {name: 'b', address: '127.0.0.1:5433', availabilityZone: 'zone-1', slots: 3, connectionLimit: 20};
+		const groups = [{name: 'lavado-db', instances: [instance]}, ...createConfiguration(2).groups as unknown[]];
+		fleet.service.set(createConfiguration(2, {groups}));
+		await fleet.bus.timerService.advance(1000);
+		fleet.service.set(createConfiguration(3));
+		await fleet.bus.timerService.advance(1000);
+		expect(fleet.getVersions()).toEqual([3]);
+		const records = new Set([...fleet.hosts.values()].map(({store}) => JSON.stringify(store.getCurrent()?.configuration)));
+		expect(records.size).toBe(1);
+		const replies = fleet.queries.filter(({base, reply}) => base > 0 && Number(reply.version) > base).map(({reply}) => Object.keys(reply));
+		expect(replies.length).toBeGreaterThan(0);
+		expect(replies.every(keys => keys.includes('delta'))).toBe(true);
+	});
+
+	it.each([
+		{guards: 'an old value from the service', value: createConfiguration(1)},
+		{guards: 'another change with the same version', value: createConfiguration(2, {changeIdentifier: 'other'})},
+		{guards: 'a value that is not JSON', value: 'version: 3'},
+		{guards: 'a value with an unknown field', value: createConfiguration(3, {surprise: true})},
+		{guards: 'a contract for an undefined group', value: createConfiguration(3, {groups: []})},
+		{guards: 'a value that is too large', value: createConfiguration(3, {author: 'x'.repeat(1_000_001)})},
+		{guards: 'a version that is not a number', value: createConfiguration(3, {version: '3'})},
+	])('keeps its version against $guards', async ({value}) => {
+		await using fleet = new TestFleet(7).startAll();
+		fleet.service.set(createConfiguration(2));
+		await fleet.bus.timerService.advance(2000);
+		const before = fleet.hosts.get('host-1')!.store.getCurrent();
+		fleet.service.set(value);
+		await fleet.bus.timerService.advance(120_000);
+		expect(fleet.getVersions()).toEqual([2]);
+		expect(fleet.hosts.get('host-1')!.store.getCurrent()).toBe(before);
+		fleet.service.set(createConfiguration(4));
+		await fleet.bus.timerService.advance(2000);
+		expect(fleet.getVersions()).toEqual([4]);
+		for (const {versions} of fleet.hosts.values()) {
+			expect(versions).toEqual([2, 4]);
+		}
+	});
+
+	it('starts from peers during an outage of the service', async () => {
+		await using fleet = new TestFleet(4);
+		for (let index = 1; index <= 3; index++) {
+			fleet.start(index);
+		}
+
+		fleet.service.set(createConfiguration(1));
+		await fleet.bus.timerService.advance(2000);
+		fleet.service.isDown = true;
+		fleet.service.wake();
+		fleet.start(4);
+		await fleet.bus.timerService.advance(1000);
+		expect(fleet.hosts.get('host-4')!.store.getCurrent()?.version).toBe(1);
+	});
+
+	it('starts from the service when no peer answers', async () => {
+		await using fleet = new TestFleet(4);
+		fleet.service.set(createConfiguration(1));
+		fleet.start(4);
+		await fleet.bus.timerService.advance(5000);
+		expect(fleet.getVersions()).toEqual([1]);
+	});
+
+	it('takes up changes again after an outage, without a greater rate of calls than stated', async () => {
+		await using fleet = new TestFleet(30).startAll();
+		fleet.service.set(createConfiguration(1));
+		await fleet.bus.timerService.advance(2000);
+		fleet.service.isDown = true;
+		fleet.service.wake();
+		fleet.service.calls = 0;
+		await fleet.bus.timerService.advance(60_000);
+		// Only the three watchers call: 3 calls at once and 1 per 5 s each.
+		expect(fleet.service.calls).toBeLessThanOrEqual(3 * 15);
+		fleet.service.isDown = false;
+		fleet.service.set(createConfiguration(2));
+		await fleet.bus.timerService.advance(30_000);
+		expect(fleet.getVersions()).toEqual([2]);
+	});
+
+	it('bounds the calls of a fleet that starts during an outage', async () => {
+		await using fleet = new TestFleet(20);
+		fleet.service.isDown = true;
+		fleet.startAll();
+		await fleet.bus.timerService.advance(60_000);
+		expect(fleet.service.calls).toBeLessThanOrEqual(20 * (3 + 12));
+		expect(fleet.getVersions()).toEqual([undefined]);
+		fleet.service.set(createConfiguration(1));
+		fleet.service.isDown = false;
+		await fleet.bus.timerService.advance(30_000);
+		expect(fleet.getVersions()).toEqual([1]);
+	});
+
+	it('survives a peer that announces a version and sends garbage', async () => {
+		await using fleet = new TestFleet(4).startAll();
+		fleet.service.set(createConfiguration(1));
+		await fleet.bus.timerService.advance(2000);
+		const {directory, network} = fleet.hosts.get('host-3')!;
+		let queries = 0;
+		network.handle(PeerMessageKind.ConfigurationQuery, async () => {
+			queries++;
+			return {version: 9, delta: {base: 1, digest: 'wrong', header: {}, contracts: [], groups: []}};
+		});
+		directory.setConfigurationVersion(9);
+		await fleet.bus.timerService.advance(60_000);
+		expect([...fleet.hosts.values()].map(({store}) => store.getCurrent()?.version)).toEqual([1, 1, 1, 1]);
+		expect(queries).toBeLessThan(100);
+		fleet.service.set(createConfiguration(10));
+		await fleet.bus.timerService.advance(1000);
+		expect(fleet.getVersions()).toEqual([10]);
+	});
+
+	it('gives look-ups of one version by customer, user, group and instance', async () => {
+		await using fleet = new TestFleet(1).startAll();
+		fleet.service.set(createConfiguration(1));
+		await fleet.bus.timerService.advance(2000);
+		const snapshot = fleet.hosts.get('host-1')!.store.getCurrent()!;
+		const {contracts} = snapshot.configuration;
+		expect(snapshot.getContract('edredon')).toBe(contracts[1]);
+		expect(snapshot.getContractOfUser('ronquido')).toBe(contracts[0]);
+		expect(snapshot.getInstance('a')?.group).toBe(snapshot.getGroup('subs-core'));
+		expect(snapshot.getGroup('unknown')).toBeUndefined();
+	});
+});
