Add the fleet harness

Cause: tests, the demo and the experiments start real processes of a whole deployment.

Change: Fleet starts the stand-ins and the hosts on loopback addresses of their own, forms the groups, writes the configuration, registers the members and waits for health. The relay tells several ports of a process apart.

Conclusion: usable without hosts; hosts are not tried yet.

--- /dev/null
+++ b/packages/bench/src/fleet/fleet.ts
@@ -0,0 +1,548 @@
+import {randomUUID} from 'node:crypto';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import {
+	configurationKey, configurationSchema, defaultServiceNames, MemberKind, SystemTimerService,
+	type Configuration, type Contract,
+} from '@tarragonstack/core';
+import pg from 'pg';
+import {getCompiledPath} from './compiled-path.js';
+import {getUserPassword} from './contract-loader.js';
+import {type Deployment} from './deployment.js';
+import {callJson} from './json-client.js';
+import {LoopbackRange} from './loopback-range.js';
+import {ManagedProcess, type ReadyLine} from './managed-process.js';
+import {clientZone, NetworkControl, platformZone} from './network-control.js';
+
+const standInsScript = getCompiledPath('@tarragonstack/stand-ins', 'main.js');
+const daemonScript = getCompiledPath('@tarragonstack/daemon', 'main.js');
+
+/** Ports of the processes; each process has its own IP address, so that all can use the same ones. */
+enum Port {
+	Database = 5432,
+	Peers = 7000,
+	Control = 8080,
+	KeyValue = 2379,
+	Membership = 8500,
+}
+
+/** Time in which a host must report that it accepts work. */
+const healthLimitMilliseconds = 15_000;
+
+/** Interval between two health checks. */
+const healthIntervalMilliseconds = 20;
+
+/** Login of the hosts at the instances. */
+const upstreamUser = 'tarragon';
+const upstreamPassword = 'upstream-of-the-fleet';
+
+const timerService = new SystemTimerService();
+
+/** Options of a fleet. */
+export type FleetOptions = {
+	readonly deployment: Deployment;
+	readonly contracts: readonly Contract[];
+	/** Selects the range of loopback addresses that is tried first; without it the process identifier does. */
+	readonly seed?: number;
+	/** Without hosts, only the stand-ins start. */
+	readonly startHosts?: boolean;
+	/** One-way delay between callers and hosts. Without it, callers connect to the hosts directly. */
+	readonly clientDelayMilliseconds?: number;
+	/** Replication lag of all instances at the start. */
+	readonly lagMilliseconds?: number;
+	/** Service time of statements without the comment `service_ms`. */
+	readonly serviceMilliseconds?: number;
+	readonly schedulingPolicy?: string;
+};
+
+/** Instance of a fleet. */
+export type FleetInstance = {
+	readonly name: string;
+	readonly group: string;
+	readonly availabilityZone: string;
+	/** Address without the relay. */
+	readonly directAddress: string;
+	/** Address at the relay, which the configuration contains. */
+	readonly relayAddress: string;
+};
+
+/** Host of a fleet. */
+export type FleetHost = {
+	readonly name: string;
+	readonly availabilityZone: string;
+	readonly address: string;
+	/** Address for callers: at the relay when callers have a delay. */
+	readonly callerAddress: string;
+};
+
+/** Real processes of one deployment, all on loopback addresses of their own. */
+export class Fleet implements AsyncDisposable {
+	/**
+	 * Starts the stand-ins and the hosts and waits until all of them accept work.
+	 *
+	 * @param options - Deployment, contracts and options.
+	 */
+	static async start(options: FleetOptions): Promise<Fleet> {
+		const range = await LoopbackRange.acquire(options.seed);
+		const directory = await mkdtemp(path.join(os.tmpdir(), 'tarragon-fleet-'));
+		const fleet = new Fleet(options, range, directory);
+		try {
+			await fleet.#start();
+			return fleet;
+		} catch (error) {
+			await fleet[Symbol.asyncDispose]();
+			throw error;
+		}
+	}
+
+	/** Control of the network; set when the relay runs. */
+	network!: NetworkControl;
+	readonly #options: FleetOptions;
+	readonly #range: LoopbackRange;
+	readonly #directory: string;
+	readonly #processes = new Map<string, ManagedProcess>();
+	readonly #instances: FleetInstance[] = [];
+	readonly #hosts: FleetHost[] = [];
+	readonly #advertisedPeers = new Map<string, string>();
+	#keyValueUrl = '';
+	#membershipUrl = '';
+	#platformAddresses = {keyValue: '', membership: ''};
+	#configuration: Configuration | undefined;
+
+	private constructor(options: FleetOptions, range: LoopbackRange, directory: string) {
+		this.#options = options;
+		this.#range = range;
+		this.#directory = directory;
+	}
+
+	/** Deployment of the fleet. */
+	get deployment(): Deployment {
+		return this.#options.deployment;
+	}
+
+	/** Instances in the order of groups and zones. */
+	get instances(): readonly FleetInstance[] {
+		return this.#instances;
+	}
+
+	/** Hosts in the order of their names. */
+	get hosts(): readonly FleetHost[] {
+		return this.#hosts;
+	}
+
+	/** First configuration of the fleet. */
+	get configuration(): Configuration {
+		return this.#configuration!;
+	}
+
+	/** Base URL of the key-value service, without the relay, for test control. */
+	get keyValueUrl(): string {
+		return `http://${this.#platformAddresses.keyValue}`;
+	}
+
+	/** Base URL of the membership list, without the relay, for test control. */
+	get membershipUrl(): string {
+		return `http://${this.#platformAddresses.membership}`;
+	}
+
+	/** Ready lines of all running processes. */
+	get readyLines(): ReadyLine[] {
+		return [...this.#processes.values()].filter(({isRunning}) => isRunning).map(({ready}) => ready);
+	}
+
+	/**
+	 * Returns a process.
+	 *
+	 * @param name - Name, for instance `host-1`.
+	 */
+	getProcessOrThrow(name: string): ManagedProcess {
+		const found = this.#processes.get(name);
+		if (!found) {
+			throw new Error(`no process "${name}"`);
+		}
+
+		return found;
+	}
+
+	/**
+	 * Returns a host.
+	 *
+	 * @param name - Name of the host.
+	 */
+	getHostOrThrow(name: string): FleetHost {
+		const found = this.#hosts.find(host => host.name === name);
+		if (!found) {
+			throw new Error(`no host "${name}"`);
+		}
+
+		return found;
+	}
+
+	/**
+	 * Returns an instance.
+	 *
+	 * @param name - Name of the instance.
+	 */
+	getInstanceOrThrow(name: string): FleetInstance {
+		const found = this.#instances.find(instance => instance.name === name);
+		if (!found) {
+			throw new Error(`no instance "${name}"`);
+		}
+
+		return found;
+	}
+
+	/**
+	 * Returns the connection string of a caller.
+	 *
+	 * @param host - Name of the host.
+	 * @param group - Group, the first one if not given.
+	 * @param user - User, the one of the deployment if not given.
+	 */
+	getConnectionString(host: string, group = this.deployment.groups[0]!, user = this.deployment.user): string {
+		return `postgresql://${user}:${getUserPassword(user)}@${this.getHostOrThrow(host).callerAddress}/${group}`;
+	}
+
+	/**
+	 * Changes settings and faults of an instance.
+	 *
+	 * @param name - Name of the instance.
+	 * @param settings - For instance `{lagMilliseconds: 200}`.
+	 */
+	async controlInstance(name: string, settings: Readonly<Record<string, unknown>>): Promise<void> {
+		await callJson('POST', `${this.#getControlUrl(name)}/control`, settings);
+	}
+
+	/**
+	 * Returns the status of an instance from its HTTP control.
+	 *
+	 * @param name - Name of the instance.
+	 */
+	async getInstanceStatus(name: string): Promise<Readonly<Record<string, unknown>>> {
+		return callJson('GET', `${this.#getControlUrl(name)}/status`);
+	}
+
+	/**
+	 * Returns the tables and the log of an instance.
+	 *
+	 * @param name - Name of the instance.
+	 */
+	async dumpInstance(name: string): Promise<Readonly<Record<string, unknown>>> {
+		return callJson('GET', `${this.#getControlUrl(name)}/dump`);
+	}
+
+	/**
+	 * Returns the running primary of the newest term of a group.
+	 *
+	 * @param group - Name of the group.
+	 */
+	async getPrimary(group: string): Promise<FleetInstance | undefined> {
+		let best: {readonly term: number; readonly instance: FleetInstance} | undefined;
+		for (const instance of this.#instances.filter(candidate => candidate.group === group)) {
+			if (this.getProcessOrThrow(instance.name).isRunning) {
+				const status = await this.getInstanceStatus(instance.name);
+				const term = status.term as number;
+				if (status.role === 'primary' && term > (best?.term ?? -1)) {
+					best = {term, instance};
+				}
+			}
+		}
+
+		return best?.instance;
+	}
+
+	/**
+	 * Kills a process without warning.
+	 *
+	 * @param name - Name of the process.
+	 */
+	async kill(name: string): Promise<void> {
+		await this.getProcessOrThrow(name).kill();
+	}
+
+	/**
+	 * Stops a process gracefully.
+	 *
+	 * @param name - Name of the process.
+	 */
+	async stop(name: string): Promise<void> {
+		await this.getProcessOrThrow(name).stop();
+	}
+
+	/**
+	 * Suspends a process.
+	 *
+	 * @param name - Name of the process.
+	 */
+	pause(name: string): void {
+		this.getProcessOrThrow(name).signal('SIGSTOP');
+	}
+
+	/**
+	 * Lets a suspended process continue.
+	 *
+	 * @param name - Name of the process.
+	 */
+	resume(name: string): void {
+		this.getProcessOrThrow(name).signal('SIGCONT');
+	}
+
+	/**
+	 * Starts a process again that was killed or stopped. It has the same addresses. An instance keeps its log and comes back
+	 * as a replica; a host is awaited until it accepts work.
+	 *
+	 * @param name - Name of the process.
+	 */
+	async restart(name: string): Promise<void> {
+		await this.getProcessOrThrow(name).start();
+		if (this.#hosts.some(host => host.name === name)) {
+			await this.waitForHealth(name);
+		}
+	}
+
+	/**
+	 * Waits until a host accepts work.
+	 *
+	 * @param host - Name of the host.
+	 */
+	async waitForHealth(host: string): Promise<void> {
+		const url = `http://${this.getHostOrThrow(host).address}:${Port.Control}/health`;
+		const limit = timerService.now() + healthLimitMilliseconds;
+		for (;;) {
+			try {
+				await callJson('GET', url);
+				return;
+			} catch (error) {
+				if (timerService.now() > limit) {
+					throw new Error(`${host} does not accept work: ${String(error)}\n${this.getProcessOrThrow(host).errorLines.slice(-20).join('\n')}`, {cause: error});
+				}
+			}
+
+			await timerService.sleep(healthIntervalMilliseconds);
+		}
+	}
+
+	/**
+	 * Registers a member, or changes its state in the list.
+	 *
+	 * @param name - Name of a host or an instance.
+	 * @param state - `live` or `leaving`.
+	 */
+	async register(name: string, state = 'live'): Promise<void> {
+		const instance = this.#instances.find(candidate => candidate.name === name);
+		const [address, port] = (instance?.relayAddress ?? this.#advertisedPeers.get(name)!).split(':');
+		await callJson('PUT', `${this.membershipUrl}/v1/agent/service/register`, {
+			ID: name,
+			Name: defaultServiceNames[instance ? MemberKind.Upstream : MemberKind.Host],
+			Address: address,
+			Port: Number(port),
+			Meta: {availability_zone: instance?.availabilityZone ?? this.getHostOrThrow(name).availabilityZone, state},
+		});
+	}
+
+	/**
+	 * Removes a member from the list.
+	 *
+	 * @param name - Name of a host or an instance.
+	 */
+	async deregister(name: string): Promise<void> {
+		await callJson('PUT', `${this.membershipUrl}/v1/agent/service/deregister/${name}`);
+	}
+
+	/** Ends all processes and removes the temporary directory. */
+	async [Symbol.asyncDispose](): Promise<void> {
+		await Promise.all([...this.#processes.values()].map(async managed => managed.kill()));
+		await rm(this.#directory, {recursive: true, force: true});
+		await this.#range[Symbol.asyncDispose]();
+	}
+
+	async #start(): Promise<void> {
+		const relayAddress = this.#range.next();
+		const relay = await this.#startStandIn('relay', 'relay', relayAddress, []);
+		this.network = new NetworkControl(relay.addresses.control!, this.deployment.availabilityZones);
+		await this.#setDelays();
+		await Promise.all([this.#startPlatform(), this.#startInstances()]);
+		await this.#formGroups();
+		await this.#writeConfiguration();
+		for (const {name} of this.#instances) {
+			await this.register(name);
+		}
+
+		if (this.#options.startHosts ?? true) {
+			await this.#startHosts();
+		}
+	}
+
+	async #startStandIn(name: string, role: string, address: string, parameters: readonly string[]): Promise<ReadyLine> {
+		const managed = new ManagedProcess(name, standInsScript, [role, '--name', name, '--address', address, ...parameters]);
+		this.#processes.set(name, managed);
+		return managed.start();
+	}
+
+	async #setDelays(): Promise<void> {
+		const {availabilityZones, zoneDelayMilliseconds} = this.deployment;
+		for (const [index, zone] of availabilityZones.entries()) {
+			for (const other of availabilityZones.slice(index + 1)) {
+				await this.network.setDelay(zone, other, zoneDelayMilliseconds);
+			}
+		}
+
+		if (this.#options.clientDelayMilliseconds !== undefined) {
+			await this.network.addSource({name: 'client', zone: clientZone, address: '127.0.0.1'});
+			for (const zone of availabilityZones) {
+				await this.network.setDelay(clientZone, zone, this.#options.clientDelayMilliseconds);
+			}
+		}
+	}
+
+	async #startPlatform(): Promise<void> {
+		const [keyValue, membership] = await Promise.all([
+			this.#startStandIn('key-value', 'key-value', this.#range.next(), ['--port', String(Port.KeyValue)]),
+			this.#startStandIn('membership', 'membership', this.#range.next(), ['--port', String(Port.Membership)]),
+		]);
+		this.#platformAddresses = {keyValue: keyValue.addresses.http!, membership: membership.addresses.http!};
+		const relayed = await Promise.all([keyValue, membership].map(async ({name, addresses}) =>
+			this.network.addDestination({name, zone: platformZone, address: addresses.http!})));
+		this.#keyValueUrl = `http://${relayed[0]}`;
+		this.#membershipUrl = `http://${relayed[1]}`;
+	}
+
+	async #startInstances(): Promise<void> {
+		const {
+			groups, availabilityZones, slots, connectionLimit, connectMilliseconds,
+		} = this.deployment;
+		const definitions = groups.flatMap(group => availabilityZones.map((availabilityZone, index) => ({
+			group, availabilityZone, name: `${group}-${String.fromCodePoint(97 + index)}`, ip: this.#range.next(),
+		})));
+		const instances = await Promise.all(definitions.map(async ({group, availabilityZone, name, ip}): Promise<FleetInstance> => {
+			const ready = await this.#startStandIn(name, 'instance', ip, [
+				'--port',
+				String(Port.Database),
+				'--control-port',
+				String(Port.Control),
+				'--password',
+				upstreamPassword,
+				'--slots',
+				String(slots),
+				'--connection-limit',
+				String(connectionLimit),
+				'--connect-milliseconds',
+				String(connectMilliseconds),
+				'--lag-milliseconds',
+				String(this.#options.lagMilliseconds ?? 0),
+				'--service-milliseconds',
+				String(this.#options.serviceMilliseconds ?? 1),
+				'--journal-file',
+				path.join(this.#directory, `${name}.journal`),
+			]);
+			const directAddress = ready.addresses.database!;
+			await this.network.addSource({name, zone: availabilityZone, address: ip});
+			const relayAddress = await this.network.addDestination({name, zone: availabilityZone, address: directAddress});
+			return {
+				name, group, availabilityZone, directAddress, relayAddress,
+			};
+		}));
+		this.#instances.push(...instances);
+	}
+
+	/** Gives each group a primary, in a different zone for each, and lets the other instances follow it. */
+	async #formGroups(): Promise<void> {
+		await Promise.all(this.deployment.groups.map(async (group, index) => {
+			const members = this.#instances.filter(instance => instance.group === group);
+			const primary = members[index % members.length]!;
+			for (const instance of members) {
+				await this.#runControl(instance, 'SELECT * FROM tarragon_raise(1, \'fleet\')');
+			}
+
+			await this.#runControl(primary, 'SELECT * FROM tarragon_promote(1, \'fleet\')');
+			for (const instance of members.filter(member => member !== primary)) {
+				await this.#runControl(instance, `SELECT * FROM tarragon_follow('${primary.relayAddress}', 1)`);
+			}
+		}));
+	}
+
+	async #runControl(instance: FleetInstance, statement: string): Promise<void> {
+		const [host, port] = instance.directAddress.split(':');
+		const client = new pg.Client({
+			host: host!, port: Number(port), user: upstreamUser, password: upstreamPassword, database: 'tarragon',
+		});
+		await client.connect();
+		const {rows} = await client.query<{accepted: boolean}>(statement);
+		await client.end();
+		if (!rows[0]?.accepted) {
+			throw new Error(`${instance.name} did not accept: ${statement}`);
+		}
+	}
+
+	async #writeConfiguration(): Promise<void> {
+		this.#configuration = configurationSchema.parse({
+			version: 1,
+			changeIdentifier: randomUUID(),
+			author: 'fleet',
+			time: new Date().toISOString(),
+			contracts: this.#options.contracts,
+			groups: this.deployment.groups.map(name => ({
+				name,
+				instances: this.#instances.filter(instance => instance.group === name).map(instance => ({
+					name: instance.name,
+					address: instance.relayAddress,
+					availabilityZone: instance.availabilityZone,
+					slots: this.deployment.slots,
+					connectionLimit: this.deployment.connectionLimit,
+				})),
+			})),
+		});
+		const toBase64 = (text: string) => Buffer.from(text).toString('base64');
+		await callJson('POST', `${this.keyValueUrl}/v3/kv/put`, {
+			key: toBase64(configurationKey), value: toBase64(JSON.stringify(this.#configuration)),
+		});
+	}
+
+	async #startHosts(): Promise<void> {
+		const {hostCount, availabilityZones} = this.deployment;
+		for (let index = 0; index < hostCount; index++) {
+			const name = `host-${index + 1}`;
+			const availabilityZone = availabilityZones[index % availabilityZones.length]!;
+			const address = this.#range.next();
+			await this.network.addSource({name, zone: availabilityZone, address});
+			const direct = `${address}:${Port.Database}`;
+			const callerAddress = this.#options.clientDelayMilliseconds === undefined
+				? direct
+				: await this.network.addDestination({name, zone: availabilityZone, address: direct, service: 'callers'});
+			this.#advertisedPeers.set(name, await this.network.addDestination({
+				name, zone: availabilityZone, address: `${address}:${Port.Peers}`, service: 'peers',
+			}));
+			this.#hosts.push({
+				name, availabilityZone, address, callerAddress,
+			});
+			await this.register(name);
+		}
+
+		await Promise.all(this.#hosts.map(async host => this.#startHost(host)));
+		await Promise.all(this.#hosts.map(async ({name}) => this.waitForHealth(name)));
+	}
+
+	async #startHost({name, availabilityZone, address}: FleetHost): Promise<void> {
+		const file = path.join(this.#directory, `${name}.json`);
+		await writeFile(file, JSON.stringify({
+			host: {name, availabilityZone, region: this.deployment.region},
+			address,
+			callers: {port: Port.Database},
+			peers: {port: Port.Peers},
+			admin: {port: Port.Control},
+			keyValueService: {url: this.#keyValueUrl},
+			membershipList: {url: this.#membershipUrl},
+			upstreams: {user: upstreamUser, password: upstreamPassword},
+			advertised: {peers: this.#advertisedPeers.get(name), admin: `${address}:${Port.Control}`},
+			...(this.#options.schedulingPolicy !== undefined && {schedulingPolicy: this.#options.schedulingPolicy}),
+		}));
+		const managed = new ManagedProcess(name, daemonScript, ['--settings', file]);
+		this.#processes.set(name, managed);
+		await managed.start();
+	}
+
+	#getControlUrl(instance: string): string {
+		return `http://${this.getProcessOrThrow(instance).ready.addresses.control}`;
+	}
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,4 @@
+export * from './fleet/index.js';
+
 /** Version of the package. */
 export const packageVersion = '0.1.0';
--- a/packages/stand-ins/src/relay/relay.ts
+++ b/packages/stand-ins/src/relay/relay.ts
@@ -89,12 +89,13 @@
 		throw new HttpError(404, {error: `no ${method} ${path}`});
 	}
 
-	/** Adds a destination, or changes the target of the one with the same name and keeps its listening address. */
+	/** Adds a destination, or changes the target of the one with the same name and service and keeps its listening address. */
 	async #addDestination(body: Json): Promise<Json> {
 		const name = getTextOrThrow(body, 'name');
 		const zone = getTextOrThrow(body, 'zone');
 		const target = getTextOrThrow(body, 'address');
-		const existing = this.#destinations.get(name);
+		const key = typeof body.service === 'string' ? `${name}/${body.service}` : name;
+		const existing = this.#destinations.get(key);
 		if (existing) {
 			existing.target = target;
 			return {address: existing.listenAddress};
@@ -109,7 +110,7 @@
 		const destination: Destination = {
 			name, zone, target, server, listenAddress,
 		};
-		this.#destinations.set(name, destination);
+		this.#destinations.set(key, destination);
 		return {address: listenAddress};
 	}
 
