--- a/packages/core/tests/adapters/consul-membership-list.test.ts
+++ b/packages/core/tests/adapters/consul-membership-list.test.ts
@@ -6,7 +6,7 @@
 const entry = (overrides: {id?: string; address?: string; meta?: Record<string, string>; checks?: unknown[]; port?: unknown}) => ({
 	Node: {Node: 'n1', Address: '127.0.0.9', Meta: {availability_zone: 'oviedo'}},
 	Service: {
-		ID: overrides.id ?? 'host-1', Service: 'tarragond', Address: overrides.address ?? '', Port: overrides.port ?? 7000, Meta: overrides.meta ?? {},
+		ID: overrides.id ?? 'host-1', Service: 'tarragon-host', Address: overrides.address ?? '', Port: overrides.port ?? 7000, Meta: overrides.meta ?? {},
 	},
 	Checks: overrides.checks ?? [{CheckID: 'serfHealth', Status: 'passing'}],
 });
@@ -29,7 +29,7 @@
 		{entries: [entry({port: 'seven'}), entry({})], members: [expected], guards: 'a wrong entry that must not hide the others'},
 	])('reads $guards', async ({entries, members}) => {
 		await using fake = await HttpFake.start((path, _, response) => {
-			response.end(JSON.stringify(path === '/v1/health/service/tarragond' ? entries : []));
+			response.end(JSON.stringify(path === '/v1/health/service/tarragon-host' ? entries : []));
 		});
 		await using list = new ConsulMembershipList({url: fake.url});
 		expect(await takeValue(list.getMembers(1000))).toEqual(members);
