Bound stalled callers and refuse what is pipelined behind a refused BEGIN

Cause: a caller that does not read its response held an upstream slot for good. Statements that a caller had pipelined behind a BEGIN refused for overload ran on their own, so that half a transaction took effect.

Change: a caller that takes nothing for 30 s is disconnected; units that arrived before the refusal of BEGIN was sent are refused with 25P02 up to their end of transaction; kernel keep-alive after 30 s.

--- a/packages/daemon/src/connection/caller/caller-connection.ts
+++ b/packages/daemon/src/connection/caller/caller-connection.ts
@@ -1,4 +1,3 @@
-import {once} from 'node:events';
 import {type Socket} from 'node:net';
 import {
 	type Contract, type Logger, type Metrics, RefusalReason, type ResponseSink, sqlStates, type TimerService, TransactionStatus,
@@ -13,6 +12,7 @@
 import {encodeError, encodeReadyForQuery, Severity} from './back-end-messages.js';
 import {type CallerError, SqlState} from './caller-error.js';
 import {CallerLogin, type Login} from './caller-login.js';
+import {CallerOutput} from './caller-output.js';
 import {type CancelKeys} from './cancel-keys.js';
 import {FrontEndReader, type FrontEndMessage, maximumMessageBytes} from './front-end-reader.js';
 import {answerLocally} from './local-responder.js';
@@ -37,6 +37,8 @@
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 	readonly tls?: TlsOptions;
+	/** Time after which a caller that does not read its response is disconnected, in milliseconds. */
+	readonly stallTimeoutMilliseconds: number;
 	readonly cancelKeys: CancelKeys;
 	/** Counts a connection of a customer; undefined when the contract permits no more. */
 	readonly admit: (contract: Contract) => Disposable | undefined;
@@ -53,6 +55,7 @@
 	readonly #options: CallerConnectionOptions;
 	readonly #reader: FrontEndReader;
 	#socket: Socket;
+	#output: CallerOutput;
 	#login?: Login;
 	#admission?: Disposable;
 	readonly #statements = new PreparedStatements();
@@ -65,6 +68,8 @@
 	#upstreamStatus = TransactionStatus.Idle;
 	/** Set when a statement of an open transaction was refused, so that the rest of the transaction must not run. */
 	#hasLocalFailure = false;
+	/** Time at which the refusal of a BEGIN was sent, in milliseconds. */
+	#beginRefusedAt = -Infinity;
 	#transactionGroup?: string;
 	#runningRequest?: string;
 	#isBusy = true;
@@ -97,6 +102,7 @@
 		this.#socket = socket;
 		this.#options = options;
 		this.#reader = new FrontEndReader(options.timers);
+		this.#output = this.#createOutput(socket);
 	}
 
 	/** Serves the caller until the connection ends. Never rejects. */
@@ -168,6 +174,12 @@
 		});
 		this.#login = await login.run();
 		this.#socket = login.socket;
+		this.#output = this.#createOutput(login.socket);
+	}
+
+	#createOutput(socket: Socket): CallerOutput {
+		const {timers, stallTimeoutMilliseconds} = this.#options;
+		return new CallerOutput({socket, timers, stallTimeoutMilliseconds, ended: this.#reader.ended});
 	}
 
 	#cancelRunningRequest(): void {
@@ -286,6 +298,9 @@
 			await this.#reject({code: SqlState.FailedTransaction, message: 'current transaction is aborted, commands ignored until end of transaction block'});
 		} else if (plan.isLocal) {
 			await this.#answerLocally(unit, plan, this.#login, contract);
+		} else if (unit.arrivedAt <= this.#beginRefusedAt) {
+			// The caller sent the unit before it could know that its transaction had not begun.
+			await this.#reject({code: SqlState.FailedTransaction, message: 'the transaction of this statement was refused at its BEGIN'});
 		} else {
 			await this.#execute(unit, plan, this.#login, {snapshot, contract});
 		}
@@ -294,7 +309,11 @@
 	}
 
 	async #answerLocally(unit: Unit, plan: UnitPlan, login: Login, contract: Contract): Promise<void> {
-		const answer = answerLocally(unit, {session: login.session, contract, isFailed: this.#hasLocalFailure});
+		const answer = answerLocally(unit, {
+			session: login.session,
+			contract,
+			isFailed: this.#hasLocalFailure || unit.arrivedAt <= this.#beginRefusedAt,
+		});
 		if (answer.isErr()) {
 			await this.#reject(answer.error);
 			return;
@@ -307,6 +326,7 @@
 		this.#portals = unit.portals;
 		if (plan.endsTransaction) {
 			this.#hasLocalFailure = false;
+			this.#beginRefusedAt = -Infinity;
 		}
 
 		await this.#send(answer.value);
@@ -326,7 +346,7 @@
 		}
 
 		let acknowledged = 0;
-		const sink = new ResponseWriter(this.#socket, this.#reader.ended, () => {
+		const sink = new ResponseWriter(this.#output, () => {
 			this.#applyChange(unit.changes[acknowledged++]);
 		});
 		if (prepared.value.usesSessionKey) {
@@ -377,6 +397,9 @@
 			message,
 			...(retryAfterMilliseconds !== undefined && {hint: `retry after ${Math.ceil(retryAfterMilliseconds)} ms`}),
 		}));
+		if (plan.beginsTransaction && !isOpen) {
+			this.#beginRefusedAt = this.#options.timers.now();
+		}
 	}
 
 	#getUnitContext(): UnitContext {
@@ -419,18 +442,8 @@
 		await this.#send(encodeReadyForQuery(this.#hasLocalFailure ? TransactionStatus.Failed : this.#upstreamStatus));
 	}
 
-	/** Sends bytes and waits until the socket can take more, so that unread responses do not accumulate. */
 	async #send(bytes: Buffer): Promise<void> {
-		const {ended} = this.#reader;
-		if (ended.aborted || this.#socket.write(bytes)) {
-			return;
-		}
-
-		try {
-			await once(this.#socket, 'drain', {signal: ended});
-		} catch {
-			// The connection ended; the loop notices it at the next read.
-		}
+		await this.#output.write(bytes);
 	}
 
 	#takePending(): FrontEndMessage[] {
--- a/packages/daemon/src/connection/caller/caller-listener.ts
+++ b/packages/daemon/src/connection/caller/caller-listener.ts
@@ -11,6 +11,10 @@
 import {CallerConnection} from './caller-connection.js';
 import {CancelKeys} from './cancel-keys.js';
 
+const defaultStallTimeoutMilliseconds = 30_000;
+/** Idle time after which the kernel checks whether a caller's host still exists, in milliseconds. */
+const keepAliveDelayMilliseconds = 30_000;
+
 /** Options of a listener for callers. */
 export type CallerListenerOptions = {
 	/** IP address to bind to. */
@@ -19,6 +23,8 @@
 	readonly port: number;
 	/** Key and certificate; without them callers that ask for TLS are told that there is none. */
 	readonly tls?: TlsOptions;
+	/** Time after which a caller that does not read its response is disconnected, in milliseconds; 30 s if not set. */
+	readonly stallTimeoutMilliseconds?: number;
 	readonly configurationStore: ConfigurationStore;
 	readonly executor: RequestExecutor;
 	readonly timers: TimerService;
@@ -40,7 +46,7 @@
 	 */
 	constructor(options: CallerListenerOptions) {
 		this.#options = options;
-		this.#server = createServer({noDelay: true, keepAlive: true}, socket => {
+		this.#server = createServer({noDelay: true, keepAlive: true, keepAliveInitialDelay: keepAliveDelayMilliseconds}, socket => {
 			this.#accept(socket);
 		});
 	}
@@ -102,6 +108,7 @@
 	#accept(socket: Socket): void {
 		const connection = new CallerConnection(socket, {
 			...this.#options,
+			stallTimeoutMilliseconds: this.#options.stallTimeoutMilliseconds ?? defaultStallTimeoutMilliseconds,
 			cancelKeys: this.#cancelKeys,
 			admit: contract => this.#admit(contract),
 		});
--- a/packages/daemon/src/connection/caller/response-writer.ts
+++ b/packages/daemon/src/connection/caller/response-writer.ts
@@ -1,6 +1,5 @@
-import {once} from 'node:events';
-import {type Socket} from 'node:net';
 import {type ResponseSink} from '@tarragonstack/core';
+import {type CallerOutput} from './caller-output.js';
 
 const headerBytes = 5;
 const parseCompleteCode = 0x31;
@@ -9,19 +8,16 @@
 
 /** Passes the messages of one response on to the caller's socket and notes what they acknowledge. */
 export class ResponseWriter implements ResponseSink {
-	readonly #socket: Socket;
-	readonly #ended: AbortSignal;
+	readonly #output: CallerOutput;
 	readonly #onAcknowledge: () => void;
 	#hasError = false;
 
 	/**
-	 * @param socket - Socket of the caller.
-	 * @param ended - Aborted when the caller's connection ended; later messages are discarded.
+	 * @param output - Output to the caller.
 	 * @param onAcknowledge - Called for each ParseComplete and CloseComplete, in order.
 	 */
-	constructor(socket: Socket, ended: AbortSignal, onAcknowledge: () => void) {
-		this.#socket = socket;
-		this.#ended = ended;
+	constructor(output: CallerOutput, onAcknowledge: () => void) {
+		this.#output = output;
 		this.#onAcknowledge = onAcknowledge;
 	}
 
@@ -33,15 +29,7 @@
 	/** @inheritdoc */
 	async write(messages: Uint8Array): Promise<void> {
 		this.#inspect(messages);
-		if (this.#ended.aborted || this.#socket.write(messages)) {
-			return;
-		}
-
-		try {
-			await once(this.#socket, 'drain', {signal: this.#ended});
-		} catch {
-			// The caller's connection ended while it was full; the signal of the request tells the executor.
-		}
+		await this.#output.write(messages);
 	}
 
 	#inspect(messages: Uint8Array): void {
--- a/packages/daemon/tests/connection/caller/fuzz.test.ts
+++ b/packages/daemon/tests/connection/caller/fuzz.test.ts
@@ -4,10 +4,24 @@
 import {Harness} from './harness.js';
 
 const name = fc.constantFrom('', 'a', 'b');
-const text = fc.constantFrom(
-	'SELECT 1', 'INSERT fail', 'syntax fail', 'BEGIN', 'COMMIT', 'ROLLBACK', 'SET tarragon.rank = \'urgent\'', 'SHOW tarragon.rank', 'COPY a FROM STDIN',
-	'', ';', 'SAVEPOINT s', 'ROLLBACK TO SAVEPOINT s', 'SELECT \'unterminated', 'SELECT 1 /*rank=\'first\'*/',
-);
+const texts = [
+	'SELECT 1',
+	'INSERT fail',
+	'syntax fail',
+	'BEGIN',
+	'COMMIT',
+	'ROLLBACK',
+	'SET tarragon.rank = \'urgent\'',
+	'SHOW tarragon.rank',
+	'COPY a FROM STDIN',
+	'',
+	';',
+	'SAVEPOINT s',
+	'ROLLBACK TO SAVEPOINT s',
+	'SELECT \'unterminated',
+	'SELECT 1 /*rank=\'first\'*/',
+];
+const text = fc.constantFrom(...texts);
 const garbage = fc.tuple(fc.constantFrom(...'QPBDECHSFdcf'), fc.uint8Array({maxLength: 20})).map(([type, body]) => {
 	const header = Buffer.alloc(5);
 	header.write(type, 0, 'latin1');
--- a/packages/daemon/tests/connection/caller/transactions.test.ts
+++ b/packages/daemon/tests/connection/caller/transactions.test.ts
@@ -95,6 +95,22 @@
 		expect(await client.query('COMMIT')).toMatchObject({command: 'COMMIT'});
 	});
 
+	it('runs nothing of a transaction that was pipelined behind a refused BEGIN, and what comes later', async () => {
+		await using harness = await Harness.start();
+		const caller = await harness.connectRaw();
+		harness.executor.override = async text => text === 'BEGIN' ? refused(RefusalReason.Overloaded) : undefined;
+		const insert = serialize.query('INSERT INTO a VALUES (1)');
+		caller.socket.write(Buffer.concat([serialize.query('BEGIN'), insert, insert, serialize.query('COMMIT'), insert]));
+		await caller.waitFor('Z', 5);
+		expect(caller.errorCodes).toEqual(['TS001', '25P02', '25P02']);
+		expect(caller.received.filter(({type}) => type === 'C').map(({body}) => body.toString())).toEqual(['ROLLBACK\0', 'SELECT 1\0']);
+		caller.socket.write(serialize.query('BEGIN'));
+		await caller.waitFor('Z', 6);
+		caller.socket.write(insert);
+		await caller.waitFor('Z', 7);
+		expect(caller.errorCodes).toHaveLength(4);
+	});
+
 	it('reports idle after a COMMIT with unknown outcome, which guards against a session that stays failed', async () => {
 		await using harness = await Harness.start();
 		const client = await harness.connect();
--- a/packages/daemon/tests/connection/caller/units.test.ts
+++ b/packages/daemon/tests/connection/caller/units.test.ts
@@ -288,6 +288,24 @@
 		expect(rows.every(({text}) => text.length === 64 * 1024)).toBe(true);
 	});
 
+	it('disconnects a caller that does not read, which guards against an upstream slot that is held for good', async () => {
+		await using harness = await Harness.start({stallTimeoutMilliseconds: 100});
+		const caller = await harness.connectRaw();
+		const row = encodeTextRow('a'.repeat(64 * 1024));
+		harness.executor.override = async (_text, _request, sink, signal) => {
+			while (!signal.aborted) {
+				await sink.write(row);
+			}
+
+			return {verdict: Verdict.Ran, transactionStatus: TransactionStatus.Idle};
+		};
+
+		caller.socket.write(serialize.query('SELECT 1'));
+		caller.socket.pause();
+		await harness.until(() => harness.listener.connectionCount === 0);
+		expect(harness.executor.abandoned).toBe(1);
+	});
+
 	it.each([
 		['SELECT 1', RequestKind.Read],
 		['INSERT INTO a VALUES (1)', RequestKind.Write],
