Show the greater of the session's own and the given position

Cause: SHOW tarragon.position returned the connection's own position even when the caller had set a greater token, so that a caller that carries the result to another host would lose its earlier writes from view.

Change: the greater of the two is shown; the test covers both orders.

--- a/packages/daemon/src/connection/caller/session-state.ts
+++ b/packages/daemon/src/connection/caller/session-state.ts
@@ -1,4 +1,4 @@
-import {type Contract, formatLogPosition} from '@tarragonstack/core';
+import {compareLogPositions, type Contract, formatLogPosition} from '@tarragonstack/core';
 import {err, ok, type Result} from 'neverthrow';
 import {
 	getInitialSetting, getOptionKey, isLocalSetting, optionPrefix, parseOption, type RequestOptions, SessionAction, type SessionStatement,
@@ -115,14 +115,21 @@
 		}
 
 		if (key === 'position') {
-			const floor = this.callerSession.floors.get(this.group) ?? this.#options.position;
-			return floor ? formatLogPosition(floor) : '';
+			return this.#showPosition();
 		}
 
 		const value = this.#options[key];
 		return typeof value === 'boolean' ? (value ? 'on' : 'off') : String(value ?? '');
 	}
 
+	/** Returns the greater of the position that the caller set and the one that the connection wrote or read. */
+	#showPosition(): string {
+		const floor = this.callerSession.floors.get(this.group);
+		const {position} = this.#options;
+		const greatest = floor && position && compareLogPositions(position, floor) > 0 ? position : floor ?? position;
+		return greatest ? formatLogPosition(greatest) : '';
+	}
+
 	#applySetting(statement: SessionStatement): Result<SettingAnswer, CallerError> {
 		if (!isLocalSetting(statement)) {
 			return err({code: SqlState.FeatureNotSupported, message: `setting "${statement.name}" to "${statement.value ?? ''}" is not supported`});
--- a/packages/daemon/tests/connection/caller/options.test.ts
+++ b/packages/daemon/tests/connection/caller/options.test.ts
@@ -76,6 +76,10 @@
 
 		await client.query('INSERT INTO a VALUES (1)');
 		expect(await client.query('SHOW tarragon.position')).toMatchObject({rows: [{'tarragon.position': '4:19'}]});
+		await client.query('SET tarragon.position = \'5:1\'');
+		expect(await client.query('SHOW tarragon.position')).toMatchObject({rows: [{'tarragon.position': '5:1'}]});
+		await client.query('SET tarragon.position = \'4:2\'');
+		expect(await client.query('SHOW tarragon.position')).toMatchObject({rows: [{'tarragon.position': '4:19'}]});
 	});
 
 	it.each([
