--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -67,6 +67,13 @@
 	readonly relayAddress: string;
 };
 
+/** Statements that an instance executed. */
+export type ReadCounts = {
+	readonly primaryReads: number;
+	readonly replicaReads: number;
+	readonly writes: number;
+};
+
 /** Host of a fleet. */
 export type FleetHost = {
 	readonly name: string;
@@ -232,6 +239,19 @@
 		return callJson('GET', `${this.#getControlUrl(name)}/dump`);
 	}
 
+	/** Returns the numbers of reads that the running instances executed in each role, by instance. */
+	async getReadCounts(): Promise<ReadonlyMap<string, ReadCounts>> {
+		const counts = new Map<string, ReadCounts>();
+		for (const {name} of this.#instances) {
+			if (this.getProcessOrThrow(name).isRunning) {
+				const status = await this.getInstanceStatus(name);
+				counts.set(name, status.statements as ReadCounts);
+			}
+		}
+
+		return counts;
+	}
+
 	/**
 	 * Returns the running primary of the newest term of a group.
 	 *
--- /dev/null
+++ b/packages/bench/src/load/load-generator.ts
@@ -0,0 +1,120 @@
+import {type Contract, type Rank, type TimerService} from '@tarragonstack/core';
+import {type CallerPools} from './caller-pools.js';
+import {type LoadRequest} from './load-request.js';
+import {type RankLoad} from './rank-load.js';
+import {RankResult} from './rank-result.js';
+import {classifyError, getErrorCode} from './request-outcome.js';
+import {RequestSource} from './request-source.js';
+import {SeededRandom} from './seeded-random.js';
+import {WriteGapTracker} from './write-gap-tracker.js';
+
+/** Settings of a `LoadGenerator`. */
+export type LoadGeneratorOptions = {
+	readonly loads: readonly RankLoad[];
+	readonly durationMilliseconds: number;
+	readonly seed: number;
+	readonly contract: Contract;
+	readonly hosts: readonly string[];
+	readonly groups: readonly string[];
+	readonly pools: CallerPools;
+	readonly timerService: TimerService;
+	/** Tells the loads of one fleet apart; the seed if not given. */
+	readonly prefix?: string;
+	/** Called after each request, for checks of a fuzzer. */
+	readonly onOutcome?: (request: LoadRequest, error?: unknown) => void;
+};
+
+/** Results of a load. */
+export type LoadResult = {
+	readonly ranks: ReadonlyMap<Rank, RankResult>;
+	readonly writeGaps: WriteGapTracker;
+	readonly startTime: number;
+	readonly endTime: number;
+};
+
+function getEarliest(sources: readonly RequestSource[]): RequestSource | undefined {
+	let earliest: RequestSource | undefined;
+	for (const source of sources) {
+		if (!earliest || source.nextTime < earliest.nextTime) {
+			earliest = source;
+		}
+	}
+
+	return earliest;
+}
+
+/**
+ * Drives an open-loop load: requests start at their arrival times, no matter how many are unanswered, and latency counts
+ * from the arrival time.
+ */
+export class LoadGenerator {
+	readonly #options: LoadGeneratorOptions;
+	readonly #results: ReadonlyMap<Rank, RankResult>;
+	readonly #running = new Set<Promise<void>>();
+
+	/** @param options - Loads, hosts and contract. */
+	constructor(options: LoadGeneratorOptions) {
+		this.#options = options;
+		this.#results = new Map(options.loads.map(({rank}) => [rank, new RankResult(options.contract.ranks[rank])]));
+	}
+
+	/** Runs the load and waits for all responses. */
+	async run(): Promise<LoadResult> {
+		const {loads, durationMilliseconds, seed, hosts, groups, timerService, prefix = `load-${seed}`} = this.#options;
+		const startTime = timerService.now();
+		const endTime = startTime + durationMilliseconds;
+		const writeGaps = new WriteGapTracker(startTime);
+		const sources = loads.map((load, index) => new RequestSource({
+			load, random: new SeededRandom(seed + index), groups, hosts, prefix,
+		}, startTime));
+		for (;;) {
+			const source = getEarliest(sources);
+			if (!source || source.nextTime >= endTime) {
+				break;
+			}
+
+			// Timers are late by up to a millisecond; all requests that are due by then start together.
+			const wait = source.nextTime - timerService.now();
+			if (wait > 0) {
+				await timerService.sleep(wait);
+			}
+
+			this.#start(source.next(), writeGaps);
+		}
+
+		await timerService.sleep(Math.max(0, endTime - timerService.now()));
+		await Promise.all(this.#running);
+		return {
+			ranks: this.#results, writeGaps, startTime, endTime,
+		};
+	}
+
+	#start(request: LoadRequest, writeGaps: WriteGapTracker): void {
+		const promise = this.#execute(request, writeGaps).finally(() => {
+			this.#running.delete(promise);
+		});
+		this.#running.add(promise);
+	}
+
+	async #execute(request: LoadRequest, writeGaps: WriteGapTracker): Promise<void> {
+		const {pools, timerService, onOutcome} = this.#options;
+		const result = this.#results.get(request.rank)!;
+		result.offered++;
+		try {
+			const rowCount = await pools.query(request.host, request.group, request.statement);
+			const now = timerService.now();
+			result.noteAnswer(now - request.intendedTime);
+			if (!request.isRead) {
+				writeGaps.note(request.group, now);
+				request.session.lastKey = request.key;
+			} else if (request.expectsRow && rowCount === 0) {
+				result.missedOwnWrites++;
+			}
+
+			onOutcome?.(request);
+		} catch (error) {
+			result.noteError(classifyError(error), getErrorCode(error));
+			onOutcome?.(request, error);
+		}
+	}
+}
--- a/packages/stand-ins/src/instance/database-instance.ts
+++ b/packages/stand-ins/src/instance/database-instance.ts
@@ -256,6 +256,7 @@
 			primaryAddress: state.primaryAddress,
 			primarySilenceMilliseconds: state.primarySilenceMilliseconds,
 			truncatedEntries: state.truncatedEntries,
+			statements: this.#executor.counts,
 			connections: this.#connectionCount,
 			slots: {limit: this.#slots.limit, used: this.#slots.used, waiting: this.#slots.waiting, stalled: this.#slots.isStalled},
 			faults: this.#faults,
--- a/packages/stand-ins/src/instance/statement-executor.ts
+++ b/packages/stand-ins/src/instance/statement-executor.ts
@@ -98,6 +98,8 @@
 
 /** Executes single statements. */
 export class StatementExecutor {
+	/** Executed statements. Reads are counted by the role of the instance. */
+	readonly counts = {primaryReads: 0, replicaReads: 0, writes: 0};
 	readonly #options: ExecutorOptions;
 
 	readonly #handlers: Readonly<Partial<Record<StatementKind, Handler>>> = {
@@ -185,7 +187,9 @@
 
 		await this.#lock(statement, context);
 		await this.#serve(statement, context);
-		return handler(statement as never, context);
+		const result = await handler(statement as never, context);
+		this.#countStatement(statement.kind);
+		return result;
 	}
 
 	/**
@@ -197,6 +201,18 @@
 		return this.#descriptions[statement.kind]?.(statement as never);
 	}
 
+	#countStatement(kind: StatementKind): void {
+		if (writeKinds.has(kind)) {
+			this.counts.writes++;
+		} else if (kind === StatementKind.Select || kind === StatementKind.Count) {
+			if (this.#options.state.role === InstanceRole.Primary) {
+				this.counts.primaryReads++;
+			} else {
+				this.counts.replicaReads++;
+			}
+		}
+	}
+
 	#checkWritable(transaction: Transaction): void {
 		const {state} = this.#options;
 		if (state.role !== InstanceRole.Primary || transaction.epoch !== state.epoch) {
