--- a/packages/bench/src/load/request-outcome.ts
+++ b/packages/bench/src/load/request-outcome.ts
@@ -16,7 +16,7 @@
  */
 export function getErrorCode(error: unknown): string {
 	const {code, message} = error as {readonly code?: unknown; readonly message?: unknown};
-	return typeof code === 'string' ? code : String(message as string);
+	return typeof code === 'string' ? code : String(message);
 }
 
 /**
@@ -25,7 +25,7 @@
  * @param error - Error of a query.
  */
 export function classifyError(error: unknown): RequestOutcome {
-	const {code} = (error as {readonly code?: unknown});
+	const code = getErrorCode(error);
 	if (code === '08007') {
 		return RequestOutcome.Unknown;
 	}
