--- a/packages/daemon/src/request/failover/group-monitor.ts
+++ b/packages/daemon/src/request/failover/group-monitor.ts
@@ -139,6 +139,7 @@
 		}
 
 		this.#polls.clear();
+		this.#contacts.clear();
 		this.#listeners.clear();
 	}
 
@@ -179,14 +180,24 @@
 			return;
 		}
 
+		this.#polls.get(instance)?.[Symbol.dispose]();
 		void this.#ask(group, instance, contact);
-		// While questions fail, the short interval keeps the time until detection independent of the size of the fleet.
-		const interval = contact.failing ? minimumStatusPollIntervalMilliseconds : this.#intervalMilliseconds;
+		// While a member fails, the short interval keeps the time until detection independent of the size of the fleet.
+		const interval = this.#isFailing(group) ? minimumStatusPollIntervalMilliseconds : this.#intervalMilliseconds;
 		this.#polls.set(instance, this.#options.timers.schedule(interval, () => {
 			this.#poll(group, instance);
 		}));
 	}
 
+	#getMembers(group: string): string[] {
+		const definition = this.#monitoredGroups.find(({name}) => name === group);
+		return definition?.instances.map(({name}) => name) ?? [];
+	}
+
+	#isFailing(group: string): boolean {
+		return this.#getMembers(group).some(instance => this.#contacts.get(instance)?.failing);
+	}
+
 	async #ask(group: string, instance: string, contact: InstanceContact): Promise<void> {
 		const control = this.#options.controls.getControl(instance);
 		if (!control) {
@@ -202,8 +213,16 @@
 		if (answer.isOk()) {
 			contact.recordAnswer();
 			this.observe(group, answer.value);
-		} else {
-			contact.recordFailure(answer.error);
+			return;
+		}
+
+		const wasFailing = this.#isFailing(group);
+		contact.recordFailure(answer.error);
+		if (!wasFailing && this.#isFailing(group)) {
+			// At the target size the last statuses are seconds old; the assessment needs what the replicas hear now.
+			for (const member of this.#getMembers(group)) {
+				this.#poll(group, member);
+			}
 		}
 	}
 }
--- /dev/null
+++ b/packages/daemon/tests/request/failover/majority-term-confirmation.test.ts
@@ -0,0 +1,231 @@
+import {ManualTimerService} from '@tarragonstack/core';
+import {afterEach, describe, expect, it} from 'vitest';
+import {ConfirmationError, type ConfirmationOptions} from '../../../src/index.js';
+import {LinkState, SimulatedGroup, TimedTransport} from './simulated-group.js';
+import {createGroupDefinition, SimulatedHost} from './simulated-host.js';
+
+const groupName = 'group-1';
+const hosts: SimulatedHost[] = [];
+
+function createScenario(members: number) {
+	const timers = new ManualTimerService();
+	const definition = createGroupDefinition(members);
+	const group = new SimulatedGroup(definition, timers);
+	group.initialize();
+	const transport = new TimedTransport(group, timers);
+	const host = new SimulatedHost({
+		name: 'host-1', order: 0, timers, definition, group, transport,
+	});
+	// Only the confirmations may change the state.
+	host.promoter[Symbol.dispose]();
+	hosts.push(host);
+	const confirm = (options: Partial<ConfirmationOptions> = {}, primary = 'db-1') =>
+		host.confirmation.confirm(groupName, primary, {
+			expectedTerm: 1, replicated: false, timeoutMilliseconds: 200, ...options,
+		});
+	return {
+		timers, group, transport, host, confirm,
+	};
+}
+
+afterEach(async () => {
+	for (const host of hosts.splice(0)) {
+		await host.stop();
+	}
+});
+
+/** Prepares the group and names the expected outcome. */
+type Case = {
+	readonly guards: string;
+	readonly members: number;
+	readonly unreachable?: readonly string[];
+	readonly raised?: readonly string[];
+	readonly expectedTerm?: number;
+	readonly primary?: string;
+	readonly expected: 'confirmed' | ConfirmationError;
+};
+
+const cases: readonly Case[] = [
+	{guards: 'a healthy group of three', members: 3, expected: 'confirmed'},
+	{guards: 'a group of one, which needs no other member', members: 1, expected: 'confirmed'},
+	{
+		guards: 'a group of two with one member unreachable (one of two is no majority)',
+		members: 2,
+		unreachable: ['db-2'],
+		expected: ConfirmationError.TimedOut,
+	},
+	{guards: 'one of three members unreachable', members: 3, unreachable: ['db-3'], expected: 'confirmed'},
+	{
+		guards: 'a primary alone in its partition, which may have been replaced',
+		members: 3,
+		unreachable: ['db-2', 'db-3'],
+		expected: ConfirmationError.TimedOut,
+	},
+	{
+		guards: 'two of four members (half is no majority)',
+		members: 4,
+		unreachable: ['db-3', 'db-4'],
+		expected: ConfirmationError.TimedOut,
+	},
+	{guards: 'an unreachable primary', members: 3, unreachable: ['db-1'], expected: ConfirmationError.TimedOut},
+	{guards: 'a minority that a dead promoter raised (writes must go on)', members: 3, raised: ['db-3'], expected: 'confirmed'},
+	{
+		guards: 'a minority ahead while another member is unreachable (no majority is left)',
+		members: 3,
+		raised: ['db-3'],
+		unreachable: ['db-2'],
+		expected: ConfirmationError.TimedOut,
+	},
+	{
+		guards: 'a majority ahead, the proof of a possible newer primary',
+		members: 3,
+		raised: ['db-2', 'db-3'],
+		expected: ConfirmationError.Replaced,
+	},
+	{
+		guards: 'a majority ahead although the old primary is unreachable (the caller must not wait for the time limit)',
+		members: 3,
+		raised: ['db-2', 'db-3'],
+		unreachable: ['db-1'],
+		expected: ConfirmationError.Replaced,
+	},
+	{guards: 'a primary that was raised itself', members: 3, raised: ['db-1'], expected: ConfirmationError.Replaced},
+	{guards: 'a term other than the expected one', members: 3, expectedTerm: 2, expected: ConfirmationError.Replaced},
+	{guards: 'an instance that is not the primary', members: 3, primary: 'db-2', expected: ConfirmationError.Replaced},
+	{guards: 'an instance of another group', members: 3, primary: 'db-9', expected: ConfirmationError.Replaced},
+];
+
+describe('MajorityTermConfirmation', () => {
+	it.each(cases)('answers $expected for $guards', async ({members, unreachable, raised, expectedTerm, primary, expected}) => {
+		const {timers, group, transport, confirm} = createScenario(members);
+		for (const name of raised ?? []) {
+			group.raise(group.getInstance(name), 2, 'other');
+		}
+
+		for (const name of unreachable ?? []) {
+			transport.links.set(`host-1 ${name}`, LinkState.Partitioned);
+		}
+
+		const confirmation = confirm({expectedTerm: expectedTerm ?? 1}, primary);
+		await timers.advance(300);
+		const result = await confirmation;
+		expect(result.match(() => 'confirmed', error => error)).toBe(expected);
+	});
+
+	it('ignores answers to questions that were sent before the call (they may precede a promotion)', async () => {
+		const {timers, group, confirm} = createScenario(3);
+		await timers.advance(20);
+		const first = confirm();
+		// The questions of the first call have been answered by the instances, and the answers are under way.
+		await timers.advance(1);
+		for (const instance of group.instances.slice(1)) {
+			group.raise(instance, 2, 'other');
+		}
+
+		group.promote(group.getInstance('db-2'), 2, 'other');
+		const second = confirm();
+		await timers.advance(100);
+		const [firstResult, secondResult] = await Promise.all([first, second]);
+		expect(firstResult.isOk()).toBe(true);
+		expect(secondResult._unsafeUnwrapErr()).toBe(ConfirmationError.Replaced);
+	});
+
+	it('serves all waiting calls with one question to each member and waits little longer than a round trip', async () => {
+		const {timers, transport, confirm} = createScenario(3);
+		await timers.advance(20);
+		const before = new Map(transport.arrivals);
+		let longest = 0;
+		let served = 0;
+		const call = async () => {
+			const start = timers.now();
+			const result = await confirm();
+			if (result.isOk()) {
+				served++;
+				longest = Math.max(longest, timers.now() - start);
+			}
+		};
+
+		for (let millisecond = 0; millisecond < 100; millisecond++) {
+			for (let index = 0; index < 20; index++) {
+				void call();
+			}
+
+			await timers.advance(1);
+		}
+
+		await timers.advance(20);
+		expect(served).toBe(2000);
+		// The round trip is 2 ms. A member gets at most one question per millisecond for 2000 calls, and polls.
+		expect(longest).toBeLessThanOrEqual(4);
+		expect((transport.arrivals.get('db-2') ?? 0) - (before.get('db-2') ?? 0)).toBeLessThan(160);
+	});
+
+	it('keeps asking the other members while the answers of one are lost (a lost answer must not use up the limit)', async () => {
+		const {timers, transport, confirm} = createScenario(3);
+		transport.links.set('host-1 db-3', LinkState.Partitioned);
+		const durations: number[] = [];
+		for (let index = 0; index < 20; index++) {
+			const start = timers.now();
+			const confirmation = confirm();
+			await timers.advance(5);
+			const result = await confirmation;
+			expect(result.isOk()).toBe(true);
+			durations.push(timers.now() - start);
+		}
+
+		expect(Math.max(...durations)).toBeLessThanOrEqual(5);
+	});
+
+	it('waits until a majority holds the write (a promotion must not lose a replicated write)', async () => {
+		const {timers, group, confirm} = createScenario(3);
+		group.write(group.getInstance('db-1'), 'write-1');
+		const replicated = confirm({replicated: true});
+		const fenced = confirm();
+		let done = false;
+		void (async () => {
+			await replicated;
+			done = true;
+		})();
+
+		await timers.advance(50);
+		const fencedResult = await fenced;
+		expect(fencedResult._unsafeUnwrap()).toEqual({term: 1, index: 1});
+		expect(done).toBe(false);
+		// Later writes do not move the position for which the call waits.
+		group.write(group.getInstance('db-1'), 'write-2');
+		group.replicate(group.getInstance('db-3'), 1);
+		await timers.advance(10);
+		expect(done).toBe(true);
+		const result = await replicated;
+		expect(result._unsafeUnwrap()).toEqual({term: 1, index: 1});
+	});
+
+	it('counts no member that was raised, although it holds the write (its log may be replaced)', async () => {
+		const {timers, group, transport, confirm} = createScenario(3);
+		group.write(group.getInstance('db-1'), 'write-1');
+		group.replicate(group.getInstance('db-3'), 1);
+		group.raise(group.getInstance('db-3'), 2, 'other');
+		transport.links.set('host-1 db-2', LinkState.Partitioned);
+		const replicated = confirm({replicated: true});
+		await timers.advance(300);
+		const result = await replicated;
+		expect(result._unsafeUnwrapErr()).toBe(ConfirmationError.TimedOut);
+	});
+
+	it('asks again after a refused question (a lost control connection must not fail a write that the primary accepted)', async () => {
+		const {timers, transport, confirm} = createScenario(3);
+		transport.links.set('host-1 db-1', LinkState.Refused);
+		const confirmation = confirm();
+		await timers.advance(20);
+		transport.links.clear();
+		await timers.advance(20);
+		const result = await confirmation;
+		expect(result.isOk()).toBe(true);
+	});
+
+	it('gives up for a group that is not configured', async () => {
+		const {host} = createScenario(3);
+		const result = await host.confirmation.confirm('group-9', 'db-1', {replicated: false, timeoutMilliseconds: 10});
+		expect(result._unsafeUnwrapErr()).toBe(ConfirmationError.TimedOut);
+	});
+});
--- /dev/null
+++ b/packages/daemon/tests/request/failover/suspicion-rule.test.ts
@@ -0,0 +1,122 @@
+import process from 'node:process';
+import fc from 'fast-check';
+import {unsafeUniformIntDistribution, xoroshiro128plus} from 'pure-rand';
+import {describe, expect, it} from 'vitest';
+import {ControlErrorKind, type ControlError} from '../../../src/index.js';
+import {InstanceContact} from '../../../src/request/failover/instance-contact.js';
+import {suspicionMilliseconds} from '../../../src/request/failover/group-condition.js';
+
+const pollMilliseconds = 50;
+const pollsPerRun = 100_000;
+const timedOut: ControlError = {kind: ControlErrorKind.TimedOut, message: 'no answer', connectionAttempt: 0};
+
+/** Decides from the outcome of each poll whether the instance is suspected. */
+type SuspicionRule = {
+	observe(answered: boolean, now: number): boolean;
+};
+
+function createPlainRule(limitMilliseconds: number): SuspicionRule {
+	const contact = new InstanceContact();
+	return {
+		observe(answered, now) {
+			contact.recordQuestion(now);
+			if (answered) {
+				contact.recordAnswer();
+			} else {
+				contact.recordFailure(timedOut);
+			}
+
+			return contact.getFailureMilliseconds(now) >= limitMilliseconds;
+		},
+	};
+}
+
+/** Counter that rises by one for each missed answer and falls by one per interval, however the polls end. */
+function createProblemCounter(threshold: number, decayMilliseconds: number): SuspicionRule {
+	let problems = 0;
+	let decayedAt = 0;
+	return {
+		observe(answered, now) {
+			problems += answered ? 0 : 1;
+			while (now - decayedAt >= decayMilliseconds) {
+				decayedAt += decayMilliseconds;
+				problems = Math.max(0, problems - 1);
+			}
+
+			return problems >= threshold;
+		},
+	};
+}
+
+/** Returns the longest time from the first missed answer of a dead instance to the suspicion, over all phases of the decay. */
+function measureDetection(createRule: () => SuspicionRule): number {
+	let longest = 0;
+	for (let answeredPolls = 1; answeredPolls <= 60; answeredPolls++) {
+		const rule = createRule();
+		for (let poll = 0; poll < answeredPolls; poll++) {
+			rule.observe(true, poll * pollMilliseconds);
+		}
+
+		const diedAt = answeredPolls * pollMilliseconds;
+		let now = diedAt;
+		while (!rule.observe(false, now) && now - diedAt < 60_000) {
+			now += pollMilliseconds;
+		}
+
+		longest = Math.max(longest, now - diedAt);
+	}
+
+	return longest;
+}
+
+/** Returns the smallest threshold with which a counter takes at least the given time to detect a dead instance. */
+function findThreshold(decayMilliseconds: number, detectionMilliseconds: number): number {
+	let threshold = 0;
+	let detection = 0;
+	while (detection < detectionMilliseconds) {
+		threshold++;
+		const candidate = threshold;
+		detection = measureDetection(() => createProblemCounter(candidate, decayMilliseconds));
+	}
+
+	return threshold;
+}
+
+/**
+ * Returns the number of polls at which a live instance is suspected while answers are lost at random. The time under
+ * suspicion counts, not the number of suspicions: a rule that never withdraws a false suspicion must not look good.
+ */
+function countFalselySuspectedPolls(createRule: () => SuspicionRule, seed: number, loss: number): number {
+	const rule = createRule();
+	const generator = xoroshiro128plus(seed);
+	const scale = 1_000_000;
+	let count = 0;
+	for (let poll = 0; poll < pollsPerRun; poll++) {
+		const answered = unsafeUniformIntDistribution(0, scale - 1, generator) >= loss * scale;
+		count += rule.observe(answered, poll * pollMilliseconds) ? 1 : 0;
+	}
+
+	return count;
+}
+
+describe('suspicion of an instance under lossy polls', () => {
+	it.each([
+		{loss: 0.2},
+		{loss: 0.4},
+		{loss: 0.6},
+	])('the plain rule suspects a live instance for no longer than a problem counter with the same detection time at a loss of $loss', ({loss}) => {
+		const seed = Number(process.env.TARRAGON_SEED ?? fc.sample(fc.nat(), 1)[0]);
+		for (const decay of [60, 100, 200, 500]) {
+			const threshold = findThreshold(decay, suspicionMilliseconds);
+			const createCounter = () => createProblemCounter(threshold, decay);
+			const detection = measureDetection(createCounter);
+			const createPlain = () => createPlainRule(detection);
+			expect(measureDetection(createPlain)).toBe(detection);
+			const plain = countFalselySuspectedPolls(createPlain, seed, loss);
+			const counter = countFalselySuspectedPolls(createCounter, seed, loss);
+			process.stdout.write(`suspicion: loss ${loss}, seed ${seed}, detection ${detection} ms, ${pollsPerRun} polls: `
+				+ `plain rule ${plain}, counter of ${threshold} with decay ${decay} ms ${counter}\n`);
+			expect(plain).toBeLessThanOrEqual(counter);
+		}
+	});
+});
