--- a/packages/daemon/src/request/failover/group-confirmations.ts
+++ b/packages/daemon/src/request/failover/group-confirmations.ts
@@ -29,6 +29,8 @@
 	lastAskedAt: number;
 	notBefore: number;
 	roundTripMilliseconds: number;
+	/** Time of the next question that is already scheduled. */
+	scheduledAt: number;
 	timer?: Disposable;
 };
 
@@ -62,6 +64,7 @@
 			lastAskedAt: Number.NEGATIVE_INFINITY,
 			notBefore: Number.NEGATIVE_INFINITY,
 			roundTripMilliseconds: 0,
+			scheduledAt: Number.POSITIVE_INFINITY,
 		}));
 	}
 
@@ -88,8 +91,10 @@
 			const limit = this.#options.timers.schedule(options.timeoutMilliseconds, () => {
 				pending.expire();
 			});
+			const now = this.#options.timers.now();
 			for (const member of this.#members) {
-				this.#pump(member);
+				// The call needs a new question to every member, so the other calls need not be looked at.
+				this.#askAt(member, now, this.#getEarliestQuestionTime(member, now));
 			}
 		});
 	}
@@ -107,40 +112,47 @@
 
 	#pump(member: Member): void {
 		const now = this.#options.timers.now();
-		const notBefore = this.#getNextQuestionTime(member, now);
-		if (notBefore === undefined) {
+		const newest = Math.max(-1, ...member.underWay.keys());
+		const waiting = [...this.#pending].filter(pending => pending.begunAt >= newest && pending.needs(member.name));
+		if (waiting.length === 0) {
 			return;
 		}
 
-		if (notBefore <= now) {
+		const first = waiting.some(pending => !pending.hasAnswer(member.name));
+		const again = first ? Number.NEGATIVE_INFINITY : member.lastAskedAt + askAgainDelayMilliseconds;
+		this.#askAt(member, now, Math.max(again, this.#getEarliestQuestionTime(member, now)));
+	}
+
+	#askAt(member: Member, now: number, time: number): void {
+		if (time <= now) {
 			void this.#ask(member, now);
 			return;
 		}
 
+		if (member.scheduledAt <= time && member.scheduledAt > now) {
+			return;
+		}
+
 		member.timer?.[Symbol.dispose]();
-		member.timer = this.#options.timers.schedule(notBefore - now, () => {
+		member.scheduledAt = time;
+		member.timer = this.#options.timers.schedule(time - now, () => {
+			member.scheduledAt = Number.POSITIVE_INFINITY;
 			this.#pump(member);
 		});
 	}
 
-	/** Returns the time of the next question to a member, or `undefined` when no call needs one. */
-	#getNextQuestionTime(member: Member, now: number): number | undefined {
-		const newest = Math.max(-1, ...member.underWay.keys());
-		const waiting = [...this.#pending].filter(pending => pending.begunAt >= newest && pending.needs(member.name));
-		if (waiting.length === 0) {
-			return undefined;
+	/** Returns the earliest time at which the limits permit another question to a member. */
+	#getEarliestQuestionTime(member: Member, now: number): number {
+		const recent = [...member.underWay.values()].filter(sentAt => now - sentAt < overlapPatienceMilliseconds);
+		if (recent.length === 0) {
+			return member.notBefore;
 		}
 
-		const recent = [...member.underWay.values()].filter(sentAt => now - sentAt < overlapPatienceMilliseconds);
+		const spaced = member.lastAskedAt + (member.roundTripMilliseconds / maximumOverlappingQuestions);
 		const limited = recent.length < maximumOverlappingQuestions
 			? Number.NEGATIVE_INFINITY
 			: Math.min(...recent) + overlapPatienceMilliseconds;
-		const spaced = recent.length === 0
-			? Number.NEGATIVE_INFINITY
-			: member.lastAskedAt + (member.roundTripMilliseconds / maximumOverlappingQuestions);
-		const first = waiting.some(pending => !pending.hasAnswer(member.name));
-		const again = first ? Number.NEGATIVE_INFINITY : member.lastAskedAt + askAgainDelayMilliseconds;
-		return Math.max(limited, spaced, again, member.notBefore);
+		return Math.max(limited, spaced, member.notBefore);
 	}
 
 	async #ask(member: Member, now: number): Promise<void> {
--- a/packages/daemon/tests/connection/control/postgres-instance-control.test.ts
+++ b/packages/daemon/tests/connection/control/postgres-instance-control.test.ts
@@ -1,125 +1,16 @@
-import {once} from 'node:events';
-import {createServer, type Server, type Socket} from 'node:net';
 import {SystemTimerService} from '@tarragonstack/core';
 import {type Result} from 'neverthrow';
 import {afterEach, describe, expect, it} from 'vitest';
 import {type ControlError, ControlErrorKind, PostgresInstanceControl} from '../../../src/index.js';
+import {
+	type Connection, ControlServer, createAnswer, message, ready, text,
+} from './control-server.js';
 
 const defaultRow: Readonly<Record<string, string>> = {
 	accepted: 't', instance: 'db-1', role: 'primary', term: '3', promoter: 'host-1', log_term: '3', log_index: '12',
 	term_start_index: '9', primary_silence_ms: '0', primary_address: '127.0.0.1:1', slots: '3', connection_limit: '20',
 };
 
-function message(type: string, ...parts: Buffer[]): Buffer {
-	const body = Buffer.concat(parts);
-	const header = Buffer.alloc(5);
-	header.write(type, 'latin1');
-	header.writeInt32BE(body.length + 4, 1);
-	return Buffer.concat([header, body]);
-}
-
-function integer(value: number, bytes: 2 | 4): Buffer {
-	const buffer = Buffer.alloc(bytes);
-	buffer.writeIntBE(value, 0, bytes);
-	return buffer;
-}
-
-function text(value: string): Buffer {
-	return Buffer.from(`${value}\0`);
-}
-
-const ready = message('Z', Buffer.from('I'));
-
-function createAnswer(row: Readonly<Record<string, string>>): Buffer {
-	const names = Object.keys(row);
-	return Buffer.concat([
-		message('T', integer(names.length, 2), ...names.flatMap(name => [
-			text(name), integer(0, 4), integer(0, 2), integer(25, 4), integer(-1, 2), integer(-1, 4), integer(0, 2),
-		])),
-		message('D', integer(names.length, 2), ...names.flatMap(name => {
-			const value = Buffer.from(row[name] ?? '');
-			return [integer(value.length, 4), value];
-		})),
-		message('C', text('SELECT 1')),
-		ready,
-	]);
-}
-
-type Connection = {
-	readonly socket: Socket;
-	readonly queries: string[];
-};
-
-/** Answers the start-up message and collects simple queries. */
-class FakeServer {
-	readonly connections: Connection[] = [];
-	readonly #server: Server;
-
-	constructor() {
-		this.#server = createServer(socket => {
-			this.#serve(socket);
-		});
-	}
-
-	onQuery = (connection: Connection): void => {
-		connection.socket.write(createAnswer(defaultRow));
-	};
-
-	getPort(): number {
-		const address = this.#server.address();
-		return typeof address === 'object' && address ? address.port : 0;
-	}
-
-	async listen(port = 0): Promise<this> {
-		this.#server.listen(port, '127.0.0.1');
-		await once(this.#server, 'listening');
-		return this;
-	}
-
-	async close(): Promise<void> {
-		if (!this.#server.listening) {
-			return;
-		}
-
-		const closed = once(this.#server, 'close');
-		this.#server.close();
-		for (const {socket} of this.connections) {
-			socket.resetAndDestroy();
-		}
-
-		await closed;
-	}
-
-	#serve(socket: Socket): void {
-		const connection: Connection = {socket, queries: []};
-		this.connections.push(connection);
-		let buffer = Buffer.alloc(0);
-		let started = false;
-		socket.on('error', () => {});
-		socket.on('data', chunk => {
-			buffer = Buffer.concat([buffer, chunk]);
-			for (;;) {
-				const prefix = started ? 1 : 0;
-				if (buffer.length < prefix + 4 || buffer.length < prefix + buffer.readInt32BE(prefix)) {
-					return;
-				}
-
-				const end = prefix + buffer.readInt32BE(prefix);
-				const body = buffer.subarray(prefix + 4, end);
-				buffer = buffer.subarray(end);
-				if (started) {
-					const query = body.toString('utf8').replace(/\0$/v, '');
-					connection.queries.push(query);
-					this.onQuery(connection);
-				} else {
-					started = true;
-					socket.write(Buffer.concat([message('R', integer(0, 4)), ready]));
-				}
-			}
-		});
-	}
-}
-
 function createDeferred<Value>(): {promise: Promise<Value>; resolve: (value: Value) => void} {
 	let resolve: (value: Value) => void = () => {};
 	const promise = new Promise<Value>(resolvePromise => {
@@ -158,8 +49,17 @@
 	return control;
 }
 
-async function createServerAndControl(): Promise<{server: FakeServer; control: PostgresInstanceControl}> {
-	const server = await new FakeServer().listen();
+async function createDefaultServer(port = 0): Promise<ControlServer> {
+	const server = new ControlServer();
+	server.onQuery = connection => {
+		connection.socket.write(createAnswer(defaultRow));
+	};
+
+	return server.listen('127.0.0.1', port);
+}
+
+async function createServerAndControl(): Promise<{server: ControlServer; control: PostgresInstanceControl}> {
+	const server = await createDefaultServer();
 	resources.push(async () => server.close());
 	return {server, control: createControl(server.getPort())};
 }
@@ -242,7 +142,7 @@
 		const second = await getError(control.status({timeoutMilliseconds: 2000}));
 		expect([first.kind, second.kind]).toEqual([ControlErrorKind.Refused, ControlErrorKind.Refused]);
 		expect(second.connectionAttempt).toBeGreaterThan(first.connectionAttempt);
-		const restarted = await new FakeServer().listen(port);
+		const restarted = await createDefaultServer(port);
 		resources.push(async () => restarted.close());
 		let answer = await control.status({timeoutMilliseconds: 2000});
 		for (let attempt = 0; answer.isErr() && attempt < 10; attempt++) {
--- a/packages/daemon/tests/request/failover/simulated-host.ts
+++ b/packages/daemon/tests/request/failover/simulated-host.ts
@@ -113,7 +113,25 @@
 	gauge(): void {}
 }
 
-/** The failover modules of one host over a simulated transport. */
+function createSimulatedControls(
+	name: string,
+	timers: PausableTimerService,
+	group: SimulatedGroup,
+	transport: SimulatedTransport,
+): InstanceControlDirectory {
+	// Answers, like timers, reach a paused host only when it resumes.
+	const pausable: SimulatedTransport = {
+		async call(host, instance, operation, options) {
+			const result = await transport.call(host, instance, operation, options);
+			await timers.waitUntilResumed();
+			return result;
+		},
+	};
+	return new InstanceControlDirectory(instance =>
+		new SimulatedInstanceControl(group, timers, pausable, {host: name, instance: instance.name}));
+}
+
+/** The failover modules of one host over a simulated transport or given control connections. */
 export class SimulatedHost {
 	readonly name: string;
 	readonly timers: PausableTimerService;
@@ -124,6 +142,14 @@
 	readonly promoter: Promoter;
 
 	constructor(options: {
+		readonly name: string;
+		readonly order: number;
+		readonly timers: TimerService;
+		readonly definition: GroupDefinition;
+		/** Control connections to the instances. */
+		readonly controls: InstanceControlDirectory;
+		readonly random?: () => number;
+	} | {
 		readonly name: string;
 		readonly order: number;
 		readonly timers: TimerService;
@@ -132,20 +158,13 @@
 		readonly transport: SimulatedTransport;
 		readonly random?: () => number;
 	}) {
-		const {name, order, definition, group, transport} = options;
+		const {name, order, definition} = options;
 		this.name = name;
 		this.timers = new PausableTimerService(options.timers);
 		const {timers} = this;
-		// Answers, like timers, reach a paused host only when it resumes.
-		const pausable: SimulatedTransport = {
-			async call(host, instance, operation, callOptions) {
-				const result = await transport.call(host, instance, operation, callOptions);
-				await timers.waitUntilResumed();
-				return result;
-			},
-		};
-		this.controls = new InstanceControlDirectory(instance =>
-			new SimulatedInstanceControl(group, timers, pausable, {host: name, instance: instance.name}));
+		this.controls = 'controls' in options
+			? options.controls
+			: createSimulatedControls(name, timers, options.group, options.transport);
 		const ownership: GroupOwnership = {
 			getPromotionOrder: () => order,
 			getOwnedInstances: () => definition.instances.slice(0, 1).map(instance => instance.name),
