Add tarragonctl

Cause: operators control the system only by configuration changes and need a client that never writes twice. Change: contracts and groups with get, list, check, diff, put and history; drain, undrain, status, promote, watch; one compare-and-swap per put, read-back by change identifier after a lost reply, exit codes 0 to 4.

--- /dev/null
+++ b/packages/control/src/command-result.ts
@@ -0,0 +1,31 @@
+import {ExitCode} from './exit-code.js';
+
+/** Result of a command, printed as text or, with `--json`, as one JSON object. */
+export type CommandResult = {
+	readonly exitCode: ExitCode;
+	/** Lines for people. After a failure, the last one says what to do next. */
+	readonly lines: readonly string[];
+	readonly data: Readonly<Record<string, unknown>>;
+};
+
+/**
+ * Creates the result of a command that succeeded.
+ *
+ * @param lines - Lines for people.
+ * @param data - Fields for programs.
+ */
+export function succeed(lines: readonly string[], data: Readonly<Record<string, unknown>>): CommandResult {
+	return {exitCode: ExitCode.Accepted, lines, data};
+}
+
+/**
+ * Creates the result of a command that failed.
+ *
+ * @param exitCode - Exit code of the program.
+ * @param problem - What went wrong.
+ * @param next - What to do next.
+ */
+export function fail(exitCode: ExitCode, problem: string | readonly string[], next: string): CommandResult {
+	const problems = typeof problem === 'string' ? [problem] : problem;
+	return {exitCode, lines: [...problems, next], data: {outcome: ExitCode[exitCode], problems, next}};
+}
--- /dev/null
+++ b/packages/control/src/configuration-client.ts
@@ -0,0 +1,254 @@
+import {randomUUID} from 'node:crypto';
+import {
+	configurationKey, configurationSchema, maximumConfigurationBytes, Verdict, z,
+	type Configuration, type KeyValueEntry, type KeyValueService, type TimerService,
+} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {listDifferences} from './configuration-difference.js';
+
+/** Time limit of one call to the key-value service, in milliseconds. */
+const callTimeoutMilliseconds = 3000;
+
+/** Attempts to read the record back after a lost reply, and the pause between them in milliseconds. */
+const readBackAttempts = 5;
+const readBackPauseMilliseconds = 500;
+
+/** Changes that the history keeps. */
+export const keptChanges = 50;
+
+/** Difference lines that one history entry holds. */
+const maximumHistoryLines = 100;
+
+const historySchema = z.object({
+	version: z.number().int().positive(),
+	changeIdentifier: z.string(),
+	author: z.string(),
+	time: z.string(),
+	differences: z.array(z.string()),
+});
+
+/** Entry of the history. */
+export type HistoryEntry = z.infer<typeof historySchema>;
+
+/** Record as it was read, with the revision on which a change is based. */
+export type ReadConfiguration = {
+	readonly configuration: Configuration | undefined;
+	readonly revision: number;
+};
+
+/** Kind of the outcome of a change. */
+export enum ChangeOutcomeKind {
+	Accepted = 'accepted',
+	Unchanged = 'unchanged',
+	Invalid = 'invalid',
+	Conflict = 'conflict',
+	Failed = 'failed',
+	Unknown = 'unknown',
+}
+
+/** Outcome of a change. */
+export type ChangeOutcome
+	= | {readonly kind: ChangeOutcomeKind.Accepted; readonly version: number; readonly differences: readonly string[]}
+		| {readonly kind: ChangeOutcomeKind.Unchanged; readonly version: number}
+		| {readonly kind: ChangeOutcomeKind.Invalid; readonly problems: readonly string[]}
+		| {readonly kind: ChangeOutcomeKind.Conflict; readonly current: Configuration | undefined; readonly differences: readonly string[]}
+		| {readonly kind: ChangeOutcomeKind.Failed; readonly message: string}
+		| {readonly kind: ChangeOutcomeKind.Unknown; readonly message: string};
+
+/** Sections of the record that operators change. */
+export type ConfigurationSections = Pick<Configuration, 'contracts' | 'groups'>;
+
+/** Input as an operator wrote it, before validation. */
+export type UncheckedSections = {readonly contracts: readonly unknown[]; readonly groups: readonly unknown[]};
+
+/** Reads and changes the configuration in the key-value service. */
+export class ConfigurationClient {
+	/**
+	 * @param keyValueService - Service that holds the record.
+	 * @param timerService - Source of pauses.
+	 */
+	constructor(private readonly keyValueService: KeyValueService, private readonly timerService: TimerService) {}
+
+	/** Reads the record. */
+	async read(): Promise<Result<ReadConfiguration, string>> {
+		const entry = await this.keyValueService.get(configurationKey, callTimeoutMilliseconds);
+		return entry.mapErr(error => error.message).andThen(value => parseEntry(value));
+	}
+
+	/**
+	 * Changes the record by one compare-and-swap.
+	 *
+	 * @param basedOn - Version that the operator has seen; 0 when there is none.
+	 * @param author - Name of the operator.
+	 * @param change - Computes the new sections.
+	 */
+	async change(basedOn: number, author: string, change: (current: ConfigurationSections) => UncheckedSections): Promise<ChangeOutcome> {
+		const read = await this.read();
+		if (read.isErr()) {
+			return {kind: ChangeOutcomeKind.Failed, message: read.error};
+		}
+
+		const {configuration: current, revision} = read.value;
+		const sections = {contracts: current?.contracts ?? [], groups: current?.groups ?? []};
+		const changed = change(sections);
+		const differences = listDifferences(sections, changed);
+		if ((current?.version ?? 0) !== basedOn) {
+			return {kind: ChangeOutcomeKind.Conflict, current, differences};
+		}
+
+		const checked = checkConfiguration({
+			version: basedOn + 1, changeIdentifier: randomUUID(), author, time: new Date().toISOString(), ...changed,
+		});
+		if (checked.isErr()) {
+			return {kind: ChangeOutcomeKind.Invalid, problems: checked.error};
+		}
+
+		const target = checked.value;
+		const normalized = listDifferences(sections, {contracts: target.contracts, groups: target.groups});
+		return normalized.length === 0
+			? {kind: ChangeOutcomeKind.Unchanged, version: basedOn}
+			: this.#write(target, revision, normalized);
+	}
+
+	/**
+	 * Reads the newest entries of the history, the newest first. Entries that could not be written are missing.
+	 *
+	 * @param newest - Newest version.
+	 */
+	async readHistory(newest: number): Promise<HistoryEntry[]> {
+		const versions = Array.from({length: Math.min(newest, keptChanges)}, (_, index) => newest - index);
+		const entries = await Promise.all(versions.map(async version => this.keyValueService.get(getHistoryKey(version), callTimeoutMilliseconds)));
+		return entries.flatMap(entry => entry.isOk() ? parseHistory(entry.value) ?? [] : []);
+	}
+
+	async #write(target: Configuration, revision: number, differences: readonly string[]): Promise<ChangeOutcome> {
+		const written = await this.keyValueService.compareAndSwap(configurationKey, revision, JSON.stringify(target), callTimeoutMilliseconds);
+		let outcome: ChangeOutcome;
+		if (written.isErr()) {
+			outcome = written.error.verdict === Verdict.NotRun
+				? {kind: ChangeOutcomeKind.Failed, message: written.error.message}
+				: await this.#readBack(target, differences);
+		} else if (written.value.swapped) {
+			outcome = {kind: ChangeOutcomeKind.Accepted, version: target.version, differences};
+		} else {
+			outcome = describeConflict(target, written.value.current);
+		}
+
+		if (outcome.kind === ChangeOutcomeKind.Accepted) {
+			await this.#writeHistory(target, differences);
+		}
+
+		return outcome;
+	}
+
+	/** Looks for the own change after a lost reply. It never writes again, as the first write may still take effect. */
+	async #readBack(target: Configuration, differences: readonly string[]): Promise<ChangeOutcome> {
+		for (let attempt = 0; attempt < readBackAttempts; attempt++) {
+			const read = await this.read();
+			const current = read.isOk() ? read.value.configuration : undefined;
+			if (current?.changeIdentifier === target.changeIdentifier) {
+				return {kind: ChangeOutcomeKind.Accepted, version: target.version, differences};
+			}
+
+			if (current?.version === target.version) {
+				return describeConflict(target, undefined, current);
+			}
+
+			if (current && current.version > target.version) {
+				return {kind: ChangeOutcomeKind.Unknown, message: `version ${current.version} by ${current.author} is in force and may have replaced this change`};
+			}
+
+			await this.timerService.sleep(readBackPauseMilliseconds);
+		}
+
+		return {kind: ChangeOutcomeKind.Unknown, message: `the reply was lost, and change ${target.changeIdentifier} has not been seen in the key-value service since`};
+	}
+
+	/** Writes the history as far as the service permits. A missing entry does not affect the configuration. */
+	async #writeHistory(target: Configuration, differences: readonly string[]): Promise<void> {
+		const {version, changeIdentifier, author, time} = target;
+		const entry: HistoryEntry = {
+			version, changeIdentifier, author, time, differences: differences.slice(0, maximumHistoryLines),
+		};
+		await this.keyValueService.compareAndSwap(getHistoryKey(version), 0, JSON.stringify(entry), callTimeoutMilliseconds);
+		const expiredKey = getHistoryKey(version - keptChanges);
+		const expired = version > keptChanges ? await this.keyValueService.get(expiredKey, callTimeoutMilliseconds) : ok(undefined);
+		if (expired.isOk() && expired.value && expired.value.value !== '') {
+			// The service's interface has no deletion, so an expired entry is emptied.
+			await this.keyValueService.compareAndSwap(expiredKey, expired.value.revision, '', callTimeoutMilliseconds);
+		}
+	}
+}
+
+/**
+ * Checks a record against the schema.
+ *
+ * @param record - Record to check.
+ * @returns The record with all defaults, or the problems, each with the path of the field.
+ */
+export function checkConfiguration(record: unknown): Result<Configuration, string[]> {
+	const parsed = configurationSchema.safeParse(record);
+	if (!parsed.success) {
+		return err(parsed.error.issues.map(issue => `${issue.path.join('.') || 'input'}: ${issue.message}`));
+	}
+
+	const duplicates = listDuplicates(parsed.data);
+	const bytes = Buffer.byteLength(JSON.stringify(parsed.data));
+	if (bytes > maximumConfigurationBytes) {
+		duplicates.push(`input: the record has ${bytes} bytes; the key-value service takes ${maximumConfigurationBytes}`);
+	}
+
+	return duplicates.length === 0 ? ok(parsed.data) : err(duplicates);
+}
+
+/** Hosts look customers, users, groups and instances up by name, so a name must be unique in the record. */
+function listDuplicates(configuration: Configuration): string[] {
+	const names: Record<string, string[]> = {
+		'contracts.*.customer': configuration.contracts.map(contract => contract.customer),
+		'contracts.*.users.*.name': configuration.contracts.flatMap(contract => contract.users.map(user => user.name)),
+		'groups.*.name': configuration.groups.map(group => group.name),
+		'groups.*.instances.*.name': configuration.groups.flatMap(group => group.instances.map(instance => instance.name)),
+	};
+	return Object.entries(names).flatMap(([path, list]) => list
+		.filter((name, index) => list.indexOf(name) !== index)
+		.map(name => `${path}: "${name}" is used more than once`));
+}
+
+function describeConflict(target: Configuration, entry: KeyValueEntry | undefined, known?: Configuration): ChangeOutcome {
+	const parsed = parseEntry(entry);
+	const current = known ?? (parsed.isOk() ? parsed.value.configuration : undefined);
+	const before = {contracts: current?.contracts ?? [], groups: current?.groups ?? []};
+	return {
+		kind: ChangeOutcomeKind.Conflict,
+		current,
+		differences: listDifferences(before, {contracts: target.contracts, groups: target.groups}),
+	};
+}
+
+function parseEntry(entry: KeyValueEntry | undefined): Result<ReadConfiguration, string> {
+	if (!entry) {
+		return ok({configuration: undefined, revision: 0});
+	}
+
+	try {
+		const parsed = configurationSchema.safeParse(JSON.parse(entry.value));
+		return parsed.success
+			? ok({configuration: parsed.data, revision: entry.revision})
+			: err(`the record in the key-value service is invalid: ${z.prettifyError(parsed.error)}`);
+	} catch {
+		return err('the record in the key-value service is not JSON');
+	}
+}
+
+function parseHistory(entry: KeyValueEntry | undefined): HistoryEntry | undefined {
+	try {
+		const parsed = historySchema.safeParse(JSON.parse(entry?.value ?? ''));
+		return parsed.success ? parsed.data : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+function getHistoryKey(version: number): string {
+	return `tarragon/history/${version}`;
+}
--- /dev/null
+++ b/packages/control/src/configuration-commands.ts
@@ -0,0 +1,305 @@
+import {readFile} from 'node:fs/promises';
+import {
+	configurationKey, type Configuration, type KeyValueService, type TimerService,
+} from '@tarragonstack/core';
+import {err, ok, type Result} from 'neverthrow';
+import {fail, succeed, type CommandResult} from './command-result.js';
+import {
+	ChangeOutcomeKind, checkConfiguration, ConfigurationClient, type ChangeOutcome, type ConfigurationSections, type UncheckedSections,
+} from './configuration-client.js';
+import {listDifferences} from './configuration-difference.js';
+import {ExitCode} from './exit-code.js';
+
+/** Section of the record that a command concerns. */
+export enum Section {
+	Contracts = 'contracts',
+	Groups = 'groups',
+}
+
+/** Field that names an element of each section. */
+const nameFields: Readonly<Record<Section, string>> = {
+	[Section.Contracts]: 'customer',
+	[Section.Groups]: 'name',
+};
+
+/** Attempts of a change that does not depend on a version, when other changes are accepted first. */
+const relativeChangeAttempts = 5;
+
+/** Pause before a watch that failed is begun again, in milliseconds. */
+const watchPauseMilliseconds = 1000;
+
+/** Commands that read or change the configuration. */
+export class ConfigurationCommands {
+	readonly #client: ConfigurationClient;
+
+	/**
+	 * @param keyValueService - Service that holds the record.
+	 * @param timerService - Source of pauses.
+	 */
+	constructor(private readonly keyValueService: KeyValueService, private readonly timerService: TimerService) {
+		this.#client = new ConfigurationClient(keyValueService, timerService);
+	}
+
+	/**
+	 * Prints one element, or the whole section as a file that `put` takes.
+	 *
+	 * @param section - Section to read.
+	 * @param name - Name of the element.
+	 */
+	async get(section: Section, name: string | undefined): Promise<CommandResult> {
+		return this.#read(configuration => {
+			const elements: ReadonlyArray<Record<string, unknown>> = configuration[section];
+			const found = name === undefined ? elements : elements.find(element => element[nameFields[section]] === name);
+			return found === undefined
+				? fail(ExitCode.InvalidInput, `there is no "${name}" in ${section}`, `Run "tarragonctl ${section} list" to see the names.`)
+				: succeed([JSON.stringify(found, undefined, 2)], {version: configuration.version, value: found});
+		});
+	}
+
+	/**
+	 * Prints the names of a section and the version.
+	 *
+	 * @param section - Section to read.
+	 */
+	async list(section: Section): Promise<CommandResult> {
+		return this.#read(configuration => {
+			const names = configuration[section].map(element => String((element as Record<string, unknown>)[nameFields[section]]));
+			return succeed([`version ${configuration.version} by ${configuration.author} at ${configuration.time}`, ...names], {version: configuration.version, names});
+		});
+	}
+
+	/**
+	 * Checks a file without writing.
+	 *
+	 * @param section - Section that the file describes.
+	 * @param file - Name of the file.
+	 */
+	async check(section: Section, file: string): Promise<CommandResult> {
+		const [input, read] = await Promise.all([readInput(file), this.#client.read()]);
+		if (input.isErr()) {
+			return fail(ExitCode.InvalidInput, input.error, 'Correct the file and check it again.');
+		}
+
+		if (read.isErr()) {
+			return fail(ExitCode.Failure, read.error, 'The check needs the present configuration. Check the address of the key-value service and try again.');
+		}
+
+		const checked = checkConfiguration({
+			version: 1, changeIdentifier: 'check', author: 'check', time: new Date(0).toISOString(),
+			...applyInput(section, input.value)(getSections(read.value.configuration)),
+		});
+		return checked.isOk()
+			? succeed([`${file} is valid`], {valid: true})
+			: fail(ExitCode.InvalidInput, checked.error, 'Correct the file and check it again.');
+	}
+
+	/**
+	 * Prints what a put of a file would change.
+	 *
+	 * @param section - Section that the file describes.
+	 * @param file - Name of the file.
+	 */
+	async diff(section: Section, file: string): Promise<CommandResult> {
+		const input = await readInput(file);
+		if (input.isErr()) {
+			return fail(ExitCode.InvalidInput, input.error, 'Correct the file.');
+		}
+
+		const read = await this.#client.read();
+		if (read.isErr()) {
+			return fail(ExitCode.Failure, read.error, 'Check the address of the key-value service and try again.');
+		}
+
+		const sections = getSections(read.value.configuration);
+		const version = read.value.configuration?.version ?? 0;
+		const differences = listDifferences(sections, applyInput(section, input.value)(sections));
+		return succeed([...differences, `${differences.length} differences from version ${version}`], {version, differences});
+	}
+
+	/**
+	 * Writes a file as the new section, or one element of it.
+	 *
+	 * @param section - Section that the file describes.
+	 * @param file - Name of the file: a list replaces the section, an object adds or replaces one element.
+	 * @param basedOn - Version that the operator has seen.
+	 * @param author - Name of the operator.
+	 */
+	async put(section: Section, file: string, basedOn: number, author: string): Promise<CommandResult> {
+		const input = await readInput(file);
+		if (input.isErr()) {
+			return fail(ExitCode.InvalidInput, input.error, 'Nothing was written. Correct the file and put it again.');
+		}
+
+		return describeOutcome(await this.#client.change(basedOn, author, applyInput(section, input.value)));
+	}
+
+	/**
+	 * Prints the last changes of a section.
+	 *
+	 * @param section - Section to read.
+	 */
+	async history(section: Section): Promise<CommandResult> {
+		const read = await this.#client.read();
+		if (read.isErr()) {
+			return fail(ExitCode.Failure, read.error, 'Check the address of the key-value service and try again.');
+		}
+
+		const entries = await this.#client.readHistory(read.value.configuration?.version ?? 0);
+		const changes = entries
+			.map(entry => ({...entry, differences: entry.differences.filter(line => line.slice(2).startsWith(section))}))
+			.filter(entry => entry.differences.length > 0);
+		const lines = changes.flatMap(entry => [`version ${entry.version} by ${entry.author} at ${entry.time}`, ...entry.differences.map(line => `  ${line}`)]);
+		return succeed(lines.length === 0 ? ['no recorded changes'] : lines, {changes});
+	}
+
+	/**
+	 * Sets whether an instance is leaving.
+	 *
+	 * @param instance - Name of the instance.
+	 * @param leaving - New value.
+	 * @param author - Name of the operator.
+	 */
+	async setLeaving(instance: string, leaving: boolean, author: string): Promise<CommandResult> {
+		for (let attempt = 1; ; attempt++) {
+			const read = await this.#client.read();
+			if (read.isErr()) {
+				return fail(ExitCode.Failure, read.error, 'Nothing was written. Check the address of the key-value service and try again.');
+			}
+
+			const {configuration} = read.value;
+			if (!configuration?.groups.some(group => group.instances.some(({name}) => name === instance))) {
+				return fail(ExitCode.InvalidInput, `there is no instance "${instance}"`, 'Run "tarragonctl groups get" to see the instances.');
+			}
+
+			const outcome = await this.#client.change(configuration.version, author, sections => ({
+				contracts: sections.contracts,
+				groups: sections.groups.map(group => ({
+					...group,
+					instances: group.instances.map(definition => definition.name === instance ? {...definition, leaving} : definition),
+				})),
+			}));
+			// The change does not depend on the version, so it is made again on top of a conflicting one.
+			if (outcome.kind !== ChangeOutcomeKind.Conflict || attempt === relativeChangeAttempts) {
+				return describeOutcome(outcome);
+			}
+		}
+	}
+
+	/**
+	 * Prints each version that is accepted, until the signal is aborted.
+	 *
+	 * @param print - Receives each result.
+	 * @param signal - Ends the watch.
+	 */
+	async watch(print: (result: CommandResult) => void, signal: AbortSignal): Promise<CommandResult> {
+		let revision = 0;
+		let previous: Configuration | undefined;
+		while (!signal.aborted) {
+			try {
+				for await (const entry of this.keyValueService.watch(configurationKey, revision, signal)) {
+					revision = entry.revision;
+					const checked = parseRecord(entry.value);
+					if (checked.isErr()) {
+						print(fail(ExitCode.InvalidInput, checked.error, 'Hosts ignore this record. Put a valid one.'));
+						continue;
+					}
+
+					const {version, author, time, changeIdentifier} = checked.value;
+					const differences = previous ? listDifferences(getSections(previous), getSections(checked.value)) : [];
+					previous = checked.value;
+					print(succeed([`version ${version} by ${author} at ${time}`, ...differences.map(line => `  ${line}`)], {
+						version, author, time, changeIdentifier, differences,
+					}));
+				}
+			} catch (error) {
+				print(fail(ExitCode.Failure, `the watch failed: ${String(error)}`, 'It is tried again every second.'));
+			}
+
+			await this.timerService.sleep(watchPauseMilliseconds, signal);
+		}
+
+		return succeed([], {});
+	}
+
+	async #read(describe: (configuration: Configuration) => CommandResult): Promise<CommandResult> {
+		const read = await this.#client.read();
+		if (read.isErr()) {
+			return fail(ExitCode.Failure, read.error, 'Check the address of the key-value service and try again.');
+		}
+
+		return read.value.configuration
+			? describe(read.value.configuration)
+			: fail(ExitCode.Failure, 'there is no configuration yet', 'Put the groups first: "tarragonctl groups put FILE --based-on 0 --author NAME".');
+	}
+}
+
+function describeOutcome(outcome: ChangeOutcome): CommandResult {
+	switch (outcome.kind) {
+		case ChangeOutcomeKind.Accepted: {
+			return succeed([...outcome.differences, `accepted, version ${outcome.version}`], {outcome: 'Accepted', version: outcome.version, differences: outcome.differences});
+		}
+
+		case ChangeOutcomeKind.Unchanged: {
+			return succeed([`no difference from version ${outcome.version}; nothing was written`], {outcome: 'Unchanged', version: outcome.version});
+		}
+
+		case ChangeOutcomeKind.Invalid: {
+			return fail(ExitCode.InvalidInput, outcome.problems, 'Nothing was written. Correct the input and put it again.');
+		}
+
+		case ChangeOutcomeKind.Conflict: {
+			const {current, differences} = outcome;
+			const version = current?.version ?? 0;
+			const source = current ? `version ${version} by ${current.author} at ${current.time} is in force` : 'there is no configuration yet';
+			const next = `Nothing was written. Review the difference, adapt the input, and put it again with --based-on ${version}.`;
+			return {
+				exitCode: ExitCode.Conflict,
+				lines: [`conflict: ${source}`, 'difference between it and your input:', ...differences.map(line => `  ${line}`), next],
+				data: {outcome: 'Conflict', version, differences, next},
+			};
+		}
+
+		case ChangeOutcomeKind.Failed: {
+			return fail(ExitCode.Failure, outcome.message, 'Nothing was written. Check the key-value service and put the input again.');
+		}
+
+		case ChangeOutcomeKind.Unknown: {
+			return fail(ExitCode.OutcomeUnknown, `outcome unknown: ${outcome.message}`, 'Run "diff" with the same input before you put it again: no difference means that the change was accepted.');
+		}
+	}
+}
+
+function getSections(configuration: Configuration | undefined): ConfigurationSections {
+	return {contracts: configuration?.contracts ?? [], groups: configuration?.groups ?? []};
+}
+
+function applyInput(section: Section, input: unknown): (sections: ConfigurationSections) => UncheckedSections {
+	return sections => {
+		if (Array.isArray(input)) {
+			return {...sections, [section]: input as unknown[]};
+		}
+
+		const field = nameFields[section];
+		const name = typeof input === 'object' && input !== null ? (input as Record<string, unknown>)[field] : undefined;
+		const elements: unknown[] = [...sections[section]];
+		const index = elements.findIndex(element => (element as Record<string, unknown>)[field] === name);
+		elements.splice(index === -1 ? elements.length : index, index === -1 ? 0 : 1, input);
+		return {...sections, [section]: elements};
+	};
+}
+
+function parseRecord(text: string): Result<Configuration, string[]> {
+	try {
+		return checkConfiguration(JSON.parse(text));
+	} catch {
+		return err(['the record is not JSON']);
+	}
+}
+
+async function readInput(file: string): Promise<Result<unknown, string>> {
+	try {
+		return ok(JSON.parse(await readFile(file, 'utf8')));
+	} catch (error) {
+		return err(`${file}: ${error instanceof Error ? error.message : String(error)}`);
+	}
+}
--- /dev/null
+++ b/packages/control/src/run-program.ts
@@ -0,0 +1,212 @@
+import {EtcdKeyValueService, SystemTimerService} from '@tarragonstack/core';
+import {
+	command, flag, multioption, number, option, optional, positional, runSafely, string, subcommands, type Type,
+} from 'cmd-ts';
+import {fail, type CommandResult} from './command-result.js';
+import {ConfigurationCommands, Section} from './configuration-commands.js';
+import {ExitCode} from './exit-code.js';
+import {HostCommands} from './host-commands.js';
+
+/** Streams and signal of the process. */
+export type ProgramEnvironment = {
+	readonly print: (line: string) => void;
+	readonly printError: (line: string) => void;
+	/** Ends `watch`. */
+	readonly signal: AbortSignal;
+	/** Name of the operating-system user, the default author of `drain` and `undrain`. */
+	readonly userName: string;
+};
+
+type Settings = {readonly keyValueService: string; readonly json: boolean};
+
+const url: Type<string, string> = {
+	...string,
+	async from(text) {
+		if (!/^https?:\/\//v.test(text) || !URL.canParse(text)) {
+			throw new Error(`"${text}" is not a URL; give for instance http://127.0.0.1:2379`);
+		}
+
+		return text;
+	},
+};
+
+const address: Type<string, string> = {
+	...string,
+	async from(text) {
+		if (!/^[\d.]{7,15}:\d{1,5}$/v.test(text)) {
+			throw new Error(`"${text}" is not an IP address and port; give for instance 127.0.0.1:7001`);
+		}
+
+		return text;
+	},
+};
+
+const version: Type<string, number> = {
+	...number,
+	async from(text) {
+		if (!/^\d{1,15}$/v.test(text)) {
+			throw new Error(`"${text}" is not a version; "list" shows the present one, and 0 stands for none`);
+		}
+
+		return Number(text);
+	},
+};
+
+const json = flag({long: 'json', description: 'print one JSON object per result'});
+const keyValueService = option({long: 'key-value-service', type: url, description: 'URL of the key-value service'});
+const settings = {keyValueService, json};
+const hosts = multioption({
+	long: 'host',
+	type: {
+		async from(texts: string[]) {
+			if (texts.length === 0) {
+				throw new Error('give the admin address of at least one host');
+			}
+
+			return Promise.all(texts.map(async text => address.from(text)));
+		},
+		displayName: 'address',
+	},
+	description: 'admin address of a host; may be repeated',
+});
+const file = positional({displayName: 'FILE', description: 'JSON file: a list replaces the section, an object one element'});
+
+/**
+ * Runs `tarragonctl`.
+ *
+ * @param argv - Arguments, without the program's name.
+ * @param environment - Streams and signal of the process.
+ * @returns The exit code of the process.
+ */
+export async function runProgram(argv: readonly string[], environment: ProgramEnvironment): Promise<ExitCode> {
+	let exitCode = ExitCode.Accepted;
+	const print = (result: CommandResult, asJson: boolean) => {
+		const write = result.exitCode === ExitCode.Accepted || asJson ? environment.print : environment.printError;
+		for (const line of asJson ? [JSON.stringify(result.data)] : result.lines) {
+			write(line);
+		}
+	};
+
+	const finish = async (asJson: boolean, result: Promise<CommandResult>) => {
+		const settled = await result;
+		exitCode = settled.exitCode;
+		if (settled.lines.length > 0) {
+			print(settled, asJson);
+		}
+	};
+
+	const useConfiguration = async (values: Settings, use: (commands: ConfigurationCommands) => Promise<CommandResult>) => {
+		await using service = new EtcdKeyValueService({url: values.keyValueService});
+		await finish(values.json, use(new ConfigurationCommands(service, new SystemTimerService())));
+	};
+
+	const createDrain = (name: string, leaving: boolean, description: string) => command({
+		name,
+		description,
+		args: {
+			...settings,
+			author: option({long: 'author', defaultValue: () => environment.userName, description: 'name of the operator'}),
+			instance: positional({displayName: 'INSTANCE'}),
+		},
+		handler: async values => useConfiguration(values, async commands => commands.setLeaving(values.instance, leaving, values.author)),
+	});
+
+	const program = subcommands({
+		name: 'tarragonctl',
+		description: 'Exit codes: 0 accepted, 1 failure, 2 usage or invalid input, 3 conflict, 4 outcome unknown.',
+		cmds: {
+			[Section.Contracts]: createSectionCommands(Section.Contracts, useConfiguration),
+			[Section.Groups]: createSectionCommands(Section.Groups, useConfiguration),
+			drain: createDrain('drain', true, 'let an instance finish its work and give it no new work'),
+			undrain: createDrain('undrain', false, 'give work to an instance again'),
+			status: command({
+				name: 'status',
+				description: 'print the health of hosts',
+				args: {hosts, json},
+				handler: async values => finish(values.json, new HostCommands(values.hosts).status()),
+			}),
+			promote: command({
+				name: 'promote',
+				description: 'replace the primary of a group',
+				args: {
+					hosts,
+					json,
+					instance: option({long: 'instance', type: optional(string), description: 'instance to promote; a host chooses if it is not given'}),
+					group: positional({displayName: 'GROUP'}),
+				},
+				handler: async values => finish(values.json, new HostCommands(values.hosts).promote(values.group, values.instance)),
+			}),
+			watch: command({
+				name: 'watch',
+				description: 'print each accepted version until interrupted',
+				args: settings,
+				handler: async values => useConfiguration(values, async commands => commands.watch(result => {
+					print(result, values.json);
+				}, environment.signal)),
+			}),
+		},
+	});
+
+	try {
+		const parsed = await runSafely(program, [...argv]);
+		if (parsed._tag === 'error') {
+			const {message, into, exitCode: code} = parsed.error.config;
+			(into === 'stderr' ? environment.printError : environment.print)(message);
+			return code === 0 ? ExitCode.Accepted : ExitCode.InvalidInput;
+		}
+	} catch (error) {
+		print(fail(ExitCode.Failure, error instanceof Error ? error.message : String(error), 'Report this error with the command that led to it.'), false);
+		return ExitCode.Failure;
+	}
+
+	return exitCode;
+}
+
+function createSectionCommands(section: Section, useConfiguration: (values: Settings, use: (commands: ConfigurationCommands) => Promise<CommandResult>) => Promise<void>) {
+	return subcommands({
+		name: section,
+		cmds: {
+			get: command({
+				name: 'get',
+				description: 'print the section, or one element of it',
+				args: {...settings, name: positional({type: optional(string), displayName: 'NAME'})},
+				handler: async values => useConfiguration(values, async commands => commands.get(section, values.name)),
+			}),
+			list: command({
+				name: 'list',
+				description: 'print the version and the names',
+				args: settings,
+				handler: async values => useConfiguration(values, async commands => commands.list(section)),
+			}),
+			check: command({
+				name: 'check',
+				description: 'check a file without writing',
+				args: {...settings, file},
+				handler: async values => useConfiguration(values, async commands => commands.check(section, values.file)),
+			}),
+			diff: command({
+				name: 'diff',
+				description: 'print what a put would change',
+				args: {...settings, file},
+				handler: async values => useConfiguration(values, async commands => commands.diff(section, values.file)),
+			}),
+			put: command({
+				name: 'put',
+				description: 'write a file',
+				args: {
+					...settings,
+					basedOn: option({long: 'based-on', type: version, description: 'version that you have seen; 0 when there is none'}),
+					author: option({long: 'author', description: 'name of the operator'}),
+					file,
+				},
+				handler: async values => useConfiguration(values, async commands => commands.put(section, values.file, values.basedOn, values.author)),
+			}),
+			history: command({
+				name: 'history',
+				description: 'print the last changes',
+				args: settings,
+				handler: async values => useConfiguration(values, async commands => commands.history(section)),
+			}),
+		},
+	});
+}
--- a/packages/core/tests/adapters/etcd-fake.ts
+++ b/packages/core/tests/adapters/etcd-fake.ts
@@ -33,6 +33,9 @@
 	}
 
 	mode = EtcdFakeMode.Normal;
+	/** While true, the connection of a write is closed before the effect; reads are answered. */
+	loseWrites = false;
+	lostWrites = 0;
 	revision = 10;
 	calls = 0;
 	writes = 0;
@@ -98,6 +101,9 @@
 		const request = JSON.parse(body);
 		if (path === '/v3/kv/range') {
 			response.end(JSON.stringify({header: {revision: String(this.revision)}, ...this.#range(decode(request.key))}));
+		} else if (path === '/v3/kv/txn' && this.loseWrites) {
+			this.lostWrites++;
+			response.destroy();
 		} else if (path === '/v3/kv/txn') {
 			this.#transact(request, response);
 		} else {
