Share ranks between customers in the refund plan, and test the policies

Cause: a customer's tight work used up its turns in the plan without being accepted, and was locked out by another one. Change: a rotation charges a customer only for accepted work; each active customer's part of a rank's queue is bounded by its weight; floors are reserved at the last due times and valuable work is planned ahead of them. Figures: 19 policy tests pass, in simulated time: floods of least, middle and urgent work, weights 1:1 and 3:1, late work, baselines.

--- a/packages/daemon/src/request/scheduling/capacity-profile.ts
+++ b/packages/daemon/src/request/scheduling/capacity-profile.ts
@@ -4,8 +4,8 @@
 /** Ratio of neighbouring horizons. Due times are rounded down by at most this ratio. */
 const horizonRatio = 1.12;
 
-/** Number of horizons; the last one is about 95 s. */
-const horizonCount = 96;
+/** Number of horizons; the last one is about 15 s, and work due later counts there. */
+const horizonCount = 80;
 
 /**
  * Share of the slot time up to a horizon that a plan fills. The rest absorbs statements that take longer than expected;
@@ -23,7 +23,7 @@
 /** Slot time that is left up to each of a series of horizons, after accepted work has taken its part. */
 export class CapacityProfile {
 	readonly #slack = new Float64Array(horizonCount);
-	readonly #taken = new Float64Array(horizonCount);
+	readonly #slots: number;
 
 	/**
 	 * Creates the profile of an instance without waiting work.
@@ -32,25 +32,37 @@
 	 * @param residualMilliseconds - Slot time that running work still needs.
 	 */
 	constructor(slots: number, residualMilliseconds: number) {
-		for (const [index, horizon] of horizons.entries()) {
-			this.#slack[index] = (plannedShare * slots * horizon) - residualMilliseconds;
+		this.#slots = slots;
+		for (let index = 0; index < horizonCount; index++) {
+			this.#slack[index] = this.#initial(index) - residualMilliseconds;
 		}
 	}
 
 	/**
-	 * Takes slot time if it is left up to the due time and if no accepted work becomes late by it.
+	 * Takes slot time as early as it is left without making accepted work late.
 	 *
+	 * @param earlyMilliseconds - Time from which on it need not be earlier.
 	 * @param dueMilliseconds - Time until the work must have ended, from the time of the plan.
 	 * @param serviceMilliseconds - Slot time of the work.
-	 * @returns Whether the slot time was taken.
+	 * @returns The time up to which the slot time was taken, or `undefined` if too little is left.
 	 */
-	tryTake(dueMilliseconds: number, serviceMilliseconds: number): boolean {
-		if (!this.fits(dueMilliseconds, serviceMilliseconds)) {
-			return false;
+	tryTake(earlyMilliseconds: number, dueMilliseconds: number, serviceMilliseconds: number): number | undefined {
+		const last = getHorizonIndex(dueMilliseconds);
+		const wanted = Math.min(last, Math.max(0, getHorizonIndex(earlyMilliseconds)));
+		let first = horizonCount;
+		while (first > wanted && this.#slack[first - 1]! >= serviceMilliseconds) {
+			first--;
 		}
 
-		this.take(dueMilliseconds, serviceMilliseconds);
-		return true;
+		if (last < 0 || first > last) {
+			return undefined;
+		}
+
+		for (let index = first; index < horizonCount; index++) {
+			this.#slack[index]! -= serviceMilliseconds;
+		}
+
+		return first === last ? dueMilliseconds : Math.max(earlyMilliseconds, horizons[first]!);
 	}
 
 	/**
@@ -84,17 +96,69 @@
 	take(dueMilliseconds: number, serviceMilliseconds: number): void {
 		for (let index = Math.max(0, getHorizonIndex(dueMilliseconds)); index < horizonCount; index++) {
 			this.#slack[index]! -= serviceMilliseconds;
-			this.#taken[index]! += serviceMilliseconds;
 		}
 	}
 
 	/**
-	 * Returns the slot time of accepted work that is due up to a time.
+	 * Takes slot time up to the due time only, if it is left without making accepted work late.
+	 *
+	 * @param dueMilliseconds - Time until the work must have ended, from the time of the plan.
+	 * @param serviceMilliseconds - Slot time of the work.
+	 * @returns Whether the slot time was taken.
+	 */
+	tryReserve(dueMilliseconds: number, serviceMilliseconds: number): boolean {
+		return this.tryTake(dueMilliseconds, dueMilliseconds, serviceMilliseconds) !== undefined;
+	}
+
+	/**
+	 * Gives reserved slot time back.
+	 *
+	 * @param dueMilliseconds - As it was given to `tryReserve`.
+	 * @param serviceMilliseconds - As it was given to `tryReserve`.
+	 */
+	giveBack(dueMilliseconds: number, serviceMilliseconds: number): void {
+		this.take(dueMilliseconds, -serviceMilliseconds);
+	}
+
+	/**
+	 * Takes slot time without a check, for many pieces of work at once.
+	 *
+	 * @param works - Due times and slot times.
+	 */
+	takeAll(works: Iterable<{readonly dueMilliseconds: number; readonly serviceMilliseconds: number}>): void {
+		const added = new Float64Array(horizonCount);
+		for (const {dueMilliseconds, serviceMilliseconds} of works) {
+			added[Math.max(0, getHorizonIndex(dueMilliseconds))]! += serviceMilliseconds;
+		}
+
+		let sum = 0;
+		for (let index = 0; index < horizonCount; index++) {
+			sum += added[index]!;
+			this.#slack[index]! -= sum;
+		}
+	}
+
+	/**
+	 * Returns the slot time that running work needs and accepted work takes up to a time.
 	 *
 	 * @param dueMilliseconds - Time from the time of the plan.
 	 */
 	getTaken(dueMilliseconds: number): number {
-		return this.#taken[Math.max(0, getHorizonIndex(dueMilliseconds))]!;
+		const index = Math.max(0, getHorizonIndex(dueMilliseconds));
+		return this.#initial(index) - this.#slack[index]!;
+	}
+
+	/**
+	 * Returns the slot time that is left up to a time.
+	 *
+	 * @param dueMilliseconds - Time from the time of the plan.
+	 */
+	getLeft(dueMilliseconds: number): number {
+		return Math.max(0, this.#slack[Math.max(0, getHorizonIndex(dueMilliseconds))]!);
+	}
+
+	#initial(index: number): number {
+		return plannedShare * this.#slots * horizons[index]!;
 	}
 }
 
--- a/packages/daemon/src/request/scheduling/customer-shares.ts
+++ b/packages/daemon/src/request/scheduling/customer-shares.ts
@@ -4,6 +4,15 @@
 /** Bound of the memory; forgotten customers start again at the virtual time of their rank. */
 const maximumCustomers = 2000;
 
+/** Time without a request after which a customer no longer counts as sharing a rank, in milliseconds. */
+const activeMilliseconds = 1000;
+
+type Arrival = {
+	readonly rank: Rank;
+	readonly weight: number;
+	readonly time: number;
+};
+
 /** Start-time fair queueing among the customers of each rank: slot time is divided by weight. */
 export class CustomerShares {
 	/** Virtual time up to which each customer has been served in a rank. */
@@ -11,25 +20,38 @@
 	/** Virtual start of the work that was started last in a rank. */
 	readonly #rankTimes = new Map<Rank, number>();
 
+	readonly #arrivals = new Map<string, Arrival>();
+
 	/**
-	 * Orders work of one rank by virtual start, so that each customer's part is proportional to its weight.
+	 * Takes note of a request.
 	 *
-	 * @param works - Work of one rank; the work of one customer keeps its order.
+	 * @param work - New work.
 	 */
-	order(works: readonly ScheduledWork[]): ScheduledWork[] {
-		const next = new Map<string, number>();
-		const tagged: Array<{readonly work: ScheduledWork; readonly start: number}> = [];
-		for (const work of works) {
-			const start = next.get(work.customer) ?? this.#getStart(work);
-			next.set(work.customer, start + (work.serviceMilliseconds / work.customerWeight));
-			tagged.push({work, start});
+	onArrival(work: ScheduledWork): void {
+		const key = getKey(work);
+		this.#arrivals.delete(key);
+		this.#arrivals.set(key, {rank: work.rank, weight: work.customerWeight, time: work.arrivedAt});
+		if (this.#arrivals.size > maximumCustomers) {
+			const [oldest] = this.#arrivals.keys();
+			this.#arrivals.delete(oldest!);
 		}
+	}
 
-		if (next.size > 1) {
-			tagged.sort((left, right) => left.start - right.start);
+	/**
+	 * Returns the sum of the weights of the customers that used a rank within the last second.
+	 *
+	 * @param rank - Rank.
+	 * @param now - Present time.
+	 */
+	getActiveWeight(rank: Rank, now: number): number {
+		let weight = 0;
+		for (const arrival of this.#arrivals.values()) {
+			if (arrival.rank === rank && arrival.time > now - activeMilliseconds) {
+				weight += arrival.weight;
+			}
 		}
 
-		return tagged.map(({work}) => work);
+		return weight;
 	}
 
 	/**
@@ -38,7 +60,7 @@
 	 * @param work - Work that starts.
 	 */
 	onStarted(work: ScheduledWork): void {
-		const start = this.#getStart(work);
+		const start = this.getStart(work);
 		const key = getKey(work);
 		this.#rankTimes.set(work.rank, Math.max(start, this.#rankTimes.get(work.rank) ?? 0));
 		this.#customerTimes.delete(key);
@@ -49,7 +71,12 @@
 		}
 	}
 
-	#getStart(work: ScheduledWork): number {
+	/**
+	 * Returns the virtual start of a customer's next work.
+	 *
+	 * @param work - Work of the customer.
+	 */
+	getStart(work: ScheduledWork): number {
 		return Math.max(this.#customerTimes.get(getKey(work)) ?? 0, this.#rankTimes.get(work.rank) ?? 0);
 	}
 }
--- a/packages/daemon/src/request/scheduling/refund-plan.ts
+++ b/packages/daemon/src/request/scheduling/refund-plan.ts
@@ -1,12 +1,19 @@
 import {ranks, type Rank} from '@tarragonstack/core';
 import {CapacityProfile} from './capacity-profile.js';
+import {CustomerRotation} from './customer-rotation.js';
 import {type CustomerShares} from './customer-shares.js';
-import {getRankFloors, type RankFloor} from './floor-account.js';
+import {getRankFloors} from './floor-account.js';
 import {type QueueState, type ScheduledWork} from './scheduled-work.js';
 
 /** Time that a response needs on its way to the caller, in milliseconds; about one hop between zones. */
 const responseWayMilliseconds = 2;
 
+/**
+ * Greatest share of its target by which work is planned ahead of its last due time. Statements take longer than expected at
+ * times, and that must hit the cheap work first. Work of the least value waiting gets no reserve.
+ */
+const maximumReserveShare = 0.5;
+
 /** Work beyond this number is not planned. The work that saves most is planned first, so that only cheap work is left out. */
 const maximumPlannedWork = 512;
 
@@ -29,18 +36,6 @@
 	return getSavedRefund(work) / Math.max(0.1, work.serviceMilliseconds);
 }
 
-/**
- * Returns the time until the work must have ended if all slots served it one after the other, from now. A statement
- * occupies one slot only, so it must start earlier than that model says.
- *
- * @param work - Work to serve.
- * @param state - Present state.
- */
-export function getDueMilliseconds(work: ScheduledWork, state: QueueState): number {
-	return work.lateAt - state.now - responseWayMilliseconds - work.deviationMilliseconds
-		- (work.serviceMilliseconds * (1 - (1 / state.slots)));
-}
-
 /**
  * Returns whether the work would be late even if it started now.
  *
@@ -51,66 +46,108 @@
 	return now + work.serviceMilliseconds > work.lateAt;
 }
 
+/** Work with the time by which a plan serves it. */
+type PlannedWork = {
+	readonly work: ScheduledWork;
+	readonly density: number;
+	readonly serviceMilliseconds: number;
+	/** Time until the work must have ended, from the time of the plan. */
+	dueMilliseconds: number;
+	/** Whether the floor of its rank has slot time reserved for it. */
+	isReserved: boolean;
+};
+
+/** Waiting work of one rank. */
+type RankWork = {
+	readonly floorShare: number;
+	/** Sum of the weights of the customers that use the rank. */
+	readonly activeWeight: number;
+	/** Slot time of the waiting work of each customer that is not late, in milliseconds. */
+	readonly customerMilliseconds: Map<string, number>;
+	waitingMilliseconds: number;
+};
+
 /**
  * Plan of the waiting work: the set that saves most refund and can be served in time together.
  *
  * Work is accepted in the order of the refund saved per slot time, as long as everything accepted before stays in time.
  * Accepted work is served in the order of its due times. Cheap work that would be late is thus served before valuable work
- * that can still wait, and no amount of cheap work makes valuable work late. Each rank's floor is accepted first.
+ * that can still wait, and no amount of cheap work makes valuable work late. What a rank's floor can serve in time is
+ * accepted in any case.
  */
 export class RefundPlan {
-	/** Accepted work with its due time, in the order of acceptance. */
-	readonly accepted: ScheduledWork[] = [];
-	/** Work that could be in time but does not fit beside the accepted work. */
+	/** Work that could be in time but does not fit beside the accepted work, by refund saved per slot time. */
 	readonly surplus: ScheduledWork[] = [];
 	/** Work that can no longer be in time, in the order of arrival. */
 	readonly late: ScheduledWork[] = [];
 	readonly time: number;
-	readonly floors: ReadonlyMap<Rank, RankFloor>;
 	readonly #state: QueueState;
+	readonly #shares: CustomerShares;
+	readonly #accepted: PlannedWork[] = [];
 	readonly #profile: CapacityProfile;
 	/** Profile in which new work of a rank must find room: without accepted work that it may displace. */
 	readonly #rankProfiles = new Map<Rank, CapacityProfile>();
-	readonly #customerMilliseconds = new Map<string, number>();
-	readonly #rankMilliseconds = new Map<Rank, number>();
-	readonly #customerWeights = new Map<Rank, Map<string, number>>();
+	readonly #rankWork = new Map<Rank, RankWork>();
+	#lowestDensity = Infinity;
 
 	constructor(state: QueueState, shares: CustomerShares) {
 		this.#state = state;
+		this.#shares = shares;
 		this.time = state.now;
 		this.#profile = new CapacityProfile(state.slots, state.residualMilliseconds);
-		this.floors = getRankFloors(state.waiting);
-		const byRank = this.#sortOutLate(shares);
-		const rest = this.#acceptFloors(byRank);
-		this.#acceptByDensity(rest);
+		const byRank = this.#sortOutLate();
+		for (const [rank, {share}] of getRankFloors(state.waiting)) {
+			this.#getRankWork(rank, share);
+		}
+
+		for (const [rank, works] of byRank) {
+			this.#reserveFloor(rank, works);
+		}
+
+		this.#acceptByDensity(byRank);
 	}
 
-	/** Returns the accepted work that is due first. */
-	getFirstDue(works: readonly ScheduledWork[] = this.accepted): ScheduledWork | undefined {
-		let first: ScheduledWork | undefined;
-		let firstDue = Infinity;
-		for (const work of works) {
-			const due = getDueMilliseconds(work, this.#state);
-			if (due < firstDue) {
-				first = work;
-				firstDue = due;
-			}
+	/**
+	 * Returns the work to serve next: of the rank whose accepted work is due first, the customer that is first by its share,
+	 * and of that customer the work that is due first.
+	 *
+	 * @param rank - Rank to which the work must belong, if given.
+	 */
+	getNext(rank?: Rank): ScheduledWork | undefined {
+		const first = this.#getFirstDue(planned => rank === undefined || planned.work.rank === rank);
+		if (!first || first.work.isContinuation || this.#getRankWork(first.work.rank).customerMilliseconds.size === 1) {
+			return first?.work;
 		}
 
-		return first;
+		const isOfRank = (planned: PlannedWork) => planned.work.rank === first.work.rank && !planned.work.isContinuation;
+		const customer = this.#accepted.find(planned => isOfRank(planned))?.work.customer;
+		return this.#getFirstDue(planned => isOfRank(planned) && planned.work.customer === customer)?.work;
 	}
 
 	/**
-	 * Returns whether new work fits, either beside all accepted work that it may not displace, or into the floor of its rank,
-	 * or into the share of its customer.
+	 * Returns whether new work fits beside all accepted work that it may not displace, or into the floor of its rank. If
+	 * several customers use the rank, each one's part of both is limited by its weight.
 	 *
 	 * @param work - New work.
 	 */
 	hasRoom(work: ScheduledWork): boolean {
-		const due = getDueMilliseconds(work, this.#state);
-		return this.#getRankProfile(work).fits(due, work.serviceMilliseconds)
-			|| this.#fitsFloor(work, due)
-			|| this.#fitsCustomerShare(work, due);
+		const due = this.#getLastDue(work);
+		if (due <= 0) {
+			return false;
+		}
+
+		const profile = this.#getRankProfile(work);
+		const rankWork = this.#getRankWork(work.rank, work.floorShare);
+		const floorMilliseconds = work.floorShare * this.#state.slots * due;
+		const share = work.customerWeight / Math.max(work.customerWeight, rankWork.activeWeight);
+		if (share === 1) {
+			return profile.fits(due, work.serviceMilliseconds)
+				|| rankWork.waitingMilliseconds + work.serviceMilliseconds <= floorMilliseconds;
+		}
+
+		const used = (rankWork.customerMilliseconds.get(work.customer) ?? 0) + work.serviceMilliseconds;
+		const capacity = Math.max(floorMilliseconds, rankWork.waitingMilliseconds + profile.getLeft(due));
+		return used <= share * capacity;
 	}
 
 	/**
@@ -119,9 +156,8 @@
 	 * @param work - New work.
 	 */
 	add(work: ScheduledWork): void {
-		const due = getDueMilliseconds(work, this.#state);
+		const due = this.#getLastDue(work);
 		this.#count(work);
-		this.#profile.take(due, work.serviceMilliseconds);
 		for (const [rank, profile] of this.#rankProfiles) {
 			if (rank === work.rank || ranks.indexOf(rank) > ranks.indexOf(work.rank)) {
 				profile.take(due, work.serviceMilliseconds);
@@ -138,100 +174,141 @@
 		const remaining = example.lateAt - example.arrivedAt;
 		const due = remaining - responseWayMilliseconds - example.deviationMilliseconds;
 		const profile = this.#getRankProfile(example);
-		const wait = (this.#state.residualMilliseconds + profile.getTaken(due)) / this.#state.slots;
+		const wait = profile.getTaken(due) / this.#state.slots;
 		return profile.fits(due, example.serviceMilliseconds) ? wait : Math.max(wait, remaining);
 	}
 
-	#sortOutLate(shares: CustomerShares): Map<Rank, ScheduledWork[]> {
-		const byRank = new Map<Rank, ScheduledWork[]>();
+	#sortOutLate(): Map<Rank, PlannedWork[]> {
+		const byRank = new Map<Rank, PlannedWork[]>();
 		for (const work of this.#state.waiting) {
 			if (work.isContinuation) {
-				this.#accept(work);
-				this.#profile.take(getDueMilliseconds(work, this.#state), work.serviceMilliseconds);
+				const planned = this.#toPlanned(work);
+				this.#profile.take(planned.dueMilliseconds, planned.serviceMilliseconds);
+				this.#accept(planned);
 			} else if (isHopeless(work, this.time)) {
 				this.late.push(work);
 			} else {
-				const ofRank = byRank.get(work.rank) ?? [];
-				ofRank.push(work);
-				byRank.set(work.rank, ofRank);
+				const planned = this.#toPlanned(work);
+				this.#lowestDensity = Math.min(this.#lowestDensity, planned.density);
+				const ofRank = byRank.get(work.rank);
+				if (ofRank) {
+					ofRank.push(planned);
+				} else {
+					byRank.set(work.rank, [planned]);
+				}
 			}
 		}
 
-		for (const [rank, works] of byRank) {
-			byRank.set(rank, shares.order(works));
-		}
-
 		return byRank;
 	}
 
-	/** Accepts of each rank what its floor can serve in time. Returns the rest. */
-	#acceptFloors(byRank: ReadonlyMap<Rank, readonly ScheduledWork[]>): ScheduledWork[][] {
-		const rest: ScheduledWork[][] = [];
-		for (const [rank, works] of byRank) {
-			const share = this.floors.get(rank)?.share ?? 0;
-			const ofRank: ScheduledWork[] = [];
-			let taken = 0;
-			for (const work of works) {
-				const due = getDueMilliseconds(work, this.#state);
-				const isInFloor = taken + work.serviceMilliseconds <= share * this.#state.slots * due
-					&& this.accepted.length < maximumPlannedWork
-					&& this.#profile.tryTake(due, work.serviceMilliseconds);
-				if (isInFloor) {
-					taken += work.serviceMilliseconds;
-					this.#accept(work);
-				} else {
-					ofRank.push(work);
-				}
-			}
-
-			rest.push(ofRank);
+	/** Reserves slot time, up to the last due times, for the work of a rank that its floor can serve in time. */
+	#reserveFloor(rank: Rank, works: readonly PlannedWork[]): void {
+		const share = this.#getRankWork(rank).floorShare;
+		const rotation = this.#createRotation(works);
+		let taken = 0;
+		for (let planned = rotation.head; planned; planned = rotation.head) {
+			const {dueMilliseconds, serviceMilliseconds} = planned;
+			planned.isReserved = taken + serviceMilliseconds <= share * this.#state.slots * dueMilliseconds
+				&& this.#profile.tryReserve(dueMilliseconds, serviceMilliseconds);
+			taken += planned.isReserved ? serviceMilliseconds : 0;
+			rotation.advance(planned.isReserved);
 		}
-
-		return rest;
 	}
 
 	/** Accepts by refund per slot time; within a rank the customers' shares decide. */
-	#acceptByDensity(rest: readonly ScheduledWork[][]): void {
-		const positions = rest.map(() => 0);
+	#acceptByDensity(byRank: ReadonlyMap<Rank, readonly PlannedWork[]>): void {
+		const rotations = [...byRank.values()].map(works => this.#createRotation(works));
 		for (;;) {
-			let best = -1;
-			let bestDensity = -1;
-			for (const [index, works] of rest.entries()) {
-				const head = works[positions[index]!];
-				if (head && getDensity(head) > bestDensity) {
-					best = index;
-					bestDensity = getDensity(head);
+			let best: CustomerRotation<PlannedWork> | undefined;
+			for (const rotation of rotations) {
+				if (rotation.head && (!best?.head || rotation.head.density > best.head.density)) {
+					best = rotation;
 				}
 			}
 
-			if (best === -1) {
+			const planned = best?.head;
+			if (!best || !planned) {
 				return;
 			}
 
-			const work = rest[best]![positions[best]!]!;
-			positions[best]!++;
-			const isAccepted = this.accepted.length < maximumPlannedWork
-				&& this.#profile.tryTake(getDueMilliseconds(work, this.#state), work.serviceMilliseconds);
-			if (isAccepted) {
-				this.#accept(work);
-			} else {
-				this.surplus.push(work);
+			const isAccepted = this.#tryAccept(planned);
+			best.advance(isAccepted);
+			if (!isAccepted) {
+				this.surplus.push(planned.work);
+				this.#count(planned.work);
 			}
 		}
 	}
 
-	#accept(work: ScheduledWork): void {
-		this.accepted.push(work);
-		this.#count(work);
+	#createRotation(works: readonly PlannedWork[]): CustomerRotation<PlannedWork> {
+		return new CustomerRotation(works, ({work}) => this.#shares.getStart(work));
+	}
+
+	#tryAccept(planned: PlannedWork): boolean {
+		if (planned.isReserved) {
+			this.#profile.giveBack(planned.dueMilliseconds, planned.serviceMilliseconds);
+		} else if (this.#accepted.length >= maximumPlannedWork) {
+			return false;
+		}
+
+		const due = this.#profile.tryTake(this.#getEarlyDue(planned), planned.dueMilliseconds, planned.serviceMilliseconds);
+		if (due === undefined) {
+			return false;
+		}
+
+		planned.dueMilliseconds = due;
+		this.#accept(planned);
+		return true;
+	}
+
+	#accept(planned: PlannedWork): void {
+		this.#accepted.push(planned);
+		this.#count(planned.work);
 	}
 
 	#count(work: ScheduledWork): void {
-		const key = getCustomerKey(work);
-		this.#customerMilliseconds.set(key, (this.#customerMilliseconds.get(key) ?? 0) + work.serviceMilliseconds);
-		this.#rankMilliseconds.set(work.rank, (this.#rankMilliseconds.get(work.rank) ?? 0) + work.serviceMilliseconds);
-		const weights = this.#customerWeights.get(work.rank) ?? new Map<string, number>();
-		weights.set(work.customer, work.customerWeight);
-		this.#customerWeights.set(work.rank, weights);
+		const rankWork = this.#getRankWork(work.rank, work.floorShare);
+		const {customerMilliseconds} = rankWork;
+		rankWork.waitingMilliseconds += work.serviceMilliseconds;
+		customerMilliseconds.set(work.customer, (customerMilliseconds.get(work.customer) ?? 0) + work.serviceMilliseconds);
+	}
+
+	#getRankWork(rank: Rank, floorShare = 0): RankWork {
+		let rankWork = this.#rankWork.get(rank);
+		if (!rankWork) {
+			rankWork = {
+				floorShare, activeWeight: this.#shares.getActiveWeight(rank, this.time), customerMilliseconds: new Map(), waitingMilliseconds: 0,
+			};
+			this.#rankWork.set(rank, rankWork);
+		}
+
+		return rankWork;
+	}
+
+	#toPlanned(work: ScheduledWork): PlannedWork {
+		return {
+			work,
+			density: getDensity(work),
+			serviceMilliseconds: work.serviceMilliseconds,
+			dueMilliseconds: this.#getLastDue(work),
+			isReserved: false,
+		};
+	}
+
+	/**
+	 * Returns the time until the work must have ended if all slots served it one after the other. A statement occupies one
+	 * slot only, so it must start earlier than that model says.
+	 */
+	#getLastDue(work: ScheduledWork): number {
+		return work.lateAt - this.time - responseWayMilliseconds - work.deviationMilliseconds
+			- (work.serviceMilliseconds * (1 - (1 / this.#state.slots)));
+	}
+
+	/** Returns the last due time less a reserve, which grows with the value of the work in relation to the cheapest. */
+	#getEarlyDue({work, density, dueMilliseconds}: PlannedWork): number {
+		const relativeValue = density > 0 ? Math.max(0, 1 - (this.#lowestDensity / density)) : 0;
+		return dueMilliseconds - (maximumReserveShare * relativeValue * (work.lateAt - work.arrivedAt));
 	}
 
 	/** Profile of the accepted work that new work of a rank cannot displace: of its rank, of greater density, or in a floor. */
@@ -243,35 +320,24 @@
 
 		const density = getDensity(example);
 		const profile = new CapacityProfile(this.#state.slots, this.#state.residualMilliseconds);
-		for (const work of this.accepted) {
-			const isKept = work.rank === example.rank || work.isContinuation || getDensity(work) >= density;
-			const share = isKept ? 1 : this.floors.get(work.rank)?.share ?? 0;
-			profile.take(getDueMilliseconds(work, this.#state), share * work.serviceMilliseconds);
-		}
-
+		profile.takeAll(this.#accepted.map(planned => {
+			const {work, dueMilliseconds, serviceMilliseconds} = planned;
+			const isKept = work.rank === example.rank || work.isContinuation || planned.density >= density;
+			const share = isKept ? 1 : this.#getRankWork(work.rank).floorShare;
+			return {dueMilliseconds, serviceMilliseconds: share * serviceMilliseconds};
+		}));
 		this.#rankProfiles.set(example.rank, profile);
 		return profile;
 	}
 
-	#fitsFloor(work: ScheduledWork, due: number): boolean {
-		const used = this.#rankMilliseconds.get(work.rank) ?? 0;
-		return used + work.serviceMilliseconds <= work.floorShare * this.#state.slots * due;
-	}
-
-	/** A customer below its share of the work of its rank is admitted; the work of others is then displaced. */
-	#fitsCustomerShare(work: ScheduledWork, due: number): boolean {
-		const used = (this.#customerMilliseconds.get(getCustomerKey(work)) ?? 0) + work.serviceMilliseconds;
-		let totalWeight = this.#customerWeights.get(work.rank)?.has(work.customer) ? 0 : work.customerWeight;
-		for (const weight of this.#customerWeights.get(work.rank)?.values() ?? []) {
-			totalWeight += weight;
+	#getFirstDue(isCandidate: (planned: PlannedWork) => boolean): PlannedWork | undefined {
+		let first: PlannedWork | undefined;
+		for (const planned of this.#accepted) {
+			if ((!first || planned.dueMilliseconds < first.dueMilliseconds) && isCandidate(planned)) {
+				first = planned;
+			}
 		}
 
-		const share = work.customerWeight / totalWeight;
-		const total = this.#rankMilliseconds.get(work.rank) ?? 0;
-		return due > 0 && used <= share * total;
+		return first;
 	}
 }
-
-function getCustomerKey(work: ScheduledWork): string {
-	return `${work.rank}/${work.customer}`;
-}
--- a/packages/daemon/src/request/scheduling/refund-strategy.ts
+++ b/packages/daemon/src/request/scheduling/refund-strategy.ts
@@ -28,6 +28,7 @@
 	/** @inheritdoc */
 	admits(work: ScheduledWork, state: QueueState): boolean {
 		this.#examples.set(work.rank, work);
+		this.#shares.onArrival(work);
 		const plan = this.#getPlan(state);
 		const isAdmitted = this.#isWorthQueueing(work, plan, state);
 		if (isAdmitted) {
@@ -47,7 +48,7 @@
 		this.#probes.clear();
 		const refused = plan.late.filter(work => work !== probe && isRefusedWhenLate(work));
 		const late = plan.late.filter(work => !isRefusedWhenLate(work));
-		const next = probe ?? this.#chooseOverdue(plan, late, state) ?? plan.getFirstDue() ?? plan.surplus[0] ?? getMostCostly(late);
+		const next = probe ?? this.#chooseOverdue(plan, late, state) ?? plan.getNext() ?? plan.surplus[0] ?? getMostCostly(late);
 		if (next) {
 			this.#shares.onStarted(next);
 		}
@@ -101,7 +102,7 @@
 			return undefined;
 		}
 
-		return plan.getFirstDue(plan.accepted.filter(work => work.rank === rank))
+		return plan.getNext(rank)
 			?? plan.surplus.find(work => work.rank === rank)
 			?? getMostCostly(late.filter(work => work.rank === rank));
 	}
--- a/packages/daemon/src/request/scheduling/service-time-estimates.ts
+++ b/packages/daemon/src/request/scheduling/service-time-estimates.ts
@@ -1,7 +1,7 @@
 import {type Rank, type RequestKind} from '@tarragonstack/core';
 
-/** Weight of a new sample. About the last ten statements of a class count. */
-const sampleWeight = 0.1;
+/** Weight of a new sample. About the last twenty statements of a class count. */
+const sampleWeight = 0.05;
 
 /** Weight of a new sample in the baseline, against which a slow-down is noticed. */
 const baselineWeight = 0.005;
--- /dev/null
+++ b/packages/daemon/tests/request/scheduling/scheduling-policy.test.ts
@@ -0,0 +1,195 @@
+import {Rank, RefusalReason} from '@tarragonstack/core';
+import {describe, expect, it} from 'vitest';
+import {SchedulingPolicy} from '../../../src/request/scheduling/scheduling-policy.js';
+import {simulate, type Stream, type StreamOutcome} from './slot-simulation.js';
+
+const slots = 3;
+const durationMilliseconds = 4000;
+const serviceMilliseconds = 5;
+
+/** Statements per second that three slots of 5 ms serve. */
+const capacityPerSecond = 600;
+
+/** 70% of the capacity in the three ranks; the floors leave 35% to the order by refund. */
+const steadyStreams: readonly Stream[] = [
+	{
+		name: 'urgent', rank: Rank.Urgent, perSecond: 170, serviceMilliseconds, targetMilliseconds: 60, lateRefund: 50, floorShare: 0.4,
+	},
+	{
+		name: 'middle', rank: Rank.Middle, perSecond: 130, serviceMilliseconds, targetMilliseconds: 200, lateRefund: 5, floorShare: 0.15,
+	},
+	{
+		name: 'least', rank: Rank.Least, perSecond: 120, serviceMilliseconds, targetMilliseconds: 500, lateRefund: 1, floorShare: 0.1,
+	},
+];
+
+function withRate(name: string, perSecond: number): Stream[] {
+	return steadyStreams.map(stream => stream.name === name ? {...stream, perSecond} : stream);
+}
+
+function getShareOnTime(outcome: StreamOutcome | undefined): number {
+	return outcome ? outcome.onTime / outcome.sent : 0;
+}
+
+/** Service times with an exponential distribution, from a fixed linear congruential sequence. */
+function createExponential(): (milliseconds: number) => number {
+	let state = 1;
+	return milliseconds => {
+		state = (state * 48_271) % 2_147_483_647;
+		return -Math.log(1 - (state / 2_147_483_647)) * milliseconds;
+	};
+}
+
+describe('SchedulingPolicy.RefundPerSlotTime', () => {
+	it.each([
+		{
+			flood: 'nothing', streams: steadyStreams, urgent: 0.999, middle: 0.999, guards: 'refusals below capacity',
+		},
+		{
+			flood: 'least at 10 times capacity', streams: withRate('least', 10 * capacityPerSecond), urgent: 0.995, middle: 0.99,
+			guards: 'cheap work that makes valuable work late',
+		},
+		{
+			flood: 'middle at 4 times capacity', streams: withRate('middle', 4 * capacityPerSecond), urgent: 0.995, middle: 0,
+			guards: 'middle work that makes urgent work late',
+		},
+	].flatMap(row => [{...row, isVaried: false}, {...row, isVaried: true}]))('keeps higher ranks in time in a flood of $flood (varied: $isVaried), against $guards', async row => {
+		const {streams, urgent, middle, isVaried} = row;
+		const {outcomes, maximumRunning} = await simulate({
+			policy: SchedulingPolicy.RefundPerSlotTime, slots, durationMilliseconds, streams,
+			...(isVaried && {varyService: createExponential()}),
+		});
+		expect(maximumRunning).toBeLessThanOrEqual(slots);
+		expect(getShareOnTime(outcomes.urgent)).toBeGreaterThanOrEqual(urgent);
+		expect(getShareOnTime(outcomes.middle)).toBeGreaterThanOrEqual(middle);
+	});
+
+	it('serves the flooded least rank in time with at least 90% of the remaining capacity', async () => {
+		const {outcomes} = await simulate({
+			policy: SchedulingPolicy.RefundPerSlotTime, slots, durationMilliseconds, streams: withRate('least', 6000),
+		});
+		const remaining = (slots * durationMilliseconds) - outcomes.urgent!.slotMilliseconds - outcomes.middle!.slotMilliseconds;
+		expect(outcomes.least!.onTime * serviceMilliseconds).toBeGreaterThanOrEqual(0.9 * remaining);
+	});
+
+	it('keeps the floors in a flood of urgent work, which itself does not collapse into lateness', async () => {
+		const {outcomes} = await simulate({
+			policy: SchedulingPolicy.RefundPerSlotTime, slots, durationMilliseconds, streams: withRate('urgent', 3 * capacityPerSecond),
+		});
+		const capacity = slots * durationMilliseconds;
+		expect(outcomes.middle!.onTime * serviceMilliseconds).toBeGreaterThanOrEqual(0.9 * 0.15 * capacity);
+		expect(outcomes.least!.onTime * serviceMilliseconds).toBeGreaterThanOrEqual(0.9 * 0.1 * capacity);
+		expect(outcomes.urgent!.onTime * serviceMilliseconds).toBeGreaterThanOrEqual(0.9 * 0.75 * capacity);
+		expect(outcomes.urgent!.late).toBeLessThanOrEqual(0.01 * outcomes.urgent!.onTime);
+	});
+
+	it('refuses the surplus of a flood early and with a hint, instead of letting it wait to be late', async () => {
+		const {outcomes} = await simulate({
+			policy: SchedulingPolicy.RefundPerSlotTime, slots, durationMilliseconds, streams: withRate('urgent', 1800),
+		});
+		expect([...outcomes.urgent!.reasons.keys()]).toEqual([RefusalReason.Overloaded]);
+	});
+
+	it('serves cheap work that would be late before urgent work that can still wait', async () => {
+		const streams: Stream[] = [
+			{
+				name: 'burst', rank: Rank.Urgent, perSecond: 1000, serviceMilliseconds: 10, targetMilliseconds: 2000, lateRefund: 50,
+			},
+			{
+				name: 'cheap', rank: Rank.Least, perSecond: 20, serviceMilliseconds: 10, targetMilliseconds: 60, lateRefund: 1, startsAt: 20,
+			},
+		];
+		// 100 urgent statements arrive at once; they need about 330 ms of their 2 s.
+		const {outcomes} = await simulate({
+			policy: SchedulingPolicy.RefundPerSlotTime, slots, durationMilliseconds: 100, streams,
+		});
+		expect(outcomes.burst!.onTime).toBe(outcomes.burst!.sent);
+		expect(outcomes.cheap!.onTime).toBe(outcomes.cheap!.sent);
+	});
+
+	it.each([
+		{weight: 1, expected: 0.5, guards: 'a customer that is served less because another one sends more'},
+		{weight: 3, expected: 0.75, guards: 'weights without effect'},
+	])('divides a rank between customers by weight $weight : 1, against $guards', async ({weight, expected}) => {
+		const stream = {
+			rank: Rank.Urgent, serviceMilliseconds, targetMilliseconds: 100, lateRefund: 10,
+		};
+		const {outcomes} = await simulate({
+			policy: SchedulingPolicy.RefundPerSlotTime, slots, durationMilliseconds, streams: [
+				{
+					...stream, name: 'a', customer: 'a', customerWeight: weight, perSecond: 800,
+				},
+				{
+					...stream, name: 'b', customer: 'b', perSecond: 2000,
+				},
+			],
+		});
+		const share = outcomes.a!.slotMilliseconds / (outcomes.a!.slotMilliseconds + outcomes.b!.slotMilliseconds);
+		expect(share).toBeGreaterThan(expected - 0.05);
+		expect(share).toBeLessThan(expected + 0.05);
+	});
+
+	it('serves late work only behind work in time, and does not refuse it when a refusal costs more', async () => {
+		const {outcomes} = await simulate({
+			policy: SchedulingPolicy.RefundPerSlotTime, slots: 1, durationMilliseconds: 1000, streams: [
+				{
+					name: 'impossible', rank: Rank.Urgent, perSecond: 20, serviceMilliseconds: 10, targetMilliseconds: 5,
+					timeoutMilliseconds: 5000, lateRefund: 10, refusedRefund: 100,
+				},
+				{
+					name: 'possible', rank: Rank.Least, perSecond: 80, serviceMilliseconds: 10, targetMilliseconds: 50, lateRefund: 1,
+				},
+			],
+		});
+		expect(outcomes.impossible).toMatchObject({refused: 0, onTime: 0});
+		expect(getShareOnTime(outcomes.possible)).toBeGreaterThan(0.97);
+	});
+
+	it('corrects an estimate that was too high, so that a slow start does not lead to refusals for ever', async () => {
+		let served = 0;
+		const {outcomes} = await simulate({
+			policy: SchedulingPolicy.RefundPerSlotTime,
+			slots: 1,
+			durationMilliseconds: 10_000,
+			streams: [{
+				name: 'urgent', rank: Rank.Urgent, perSecond: 50, serviceMilliseconds: 5, targetMilliseconds: 60, lateRefund: 10,
+			}],
+			varyService: milliseconds => served++ < 20 ? 200 : milliseconds,
+		});
+		expect(outcomes.urgent!.onTime).toBeGreaterThan(0.5 * outcomes.urgent!.sent);
+	});
+
+	it.each([
+		{flood: 'least', perSecond: 6000},
+		{flood: 'middle', perSecond: 2400},
+		{flood: 'urgent', perSecond: 1800},
+	])('costs less refund than both baselines in a flood of $flood', async ({flood, perSecond}) => {
+		const refunds = new Map<SchedulingPolicy, number>();
+		for (const policy of Object.values(SchedulingPolicy)) {
+			const {refund} = await simulate({
+				policy, slots, durationMilliseconds: 2000, streams: withRate(flood, perSecond),
+			});
+			refunds.set(policy, refund);
+		}
+
+		const own = refunds.get(SchedulingPolicy.RefundPerSlotTime)!;
+		expect(own).toBeLessThan(refunds.get(SchedulingPolicy.FirstInFirstOut)!);
+		expect(own).toBeLessThan(refunds.get(SchedulingPolicy.StrictPriority)!);
+	});
+});
+
+describe('baselines', () => {
+	it.each([
+		{
+			policy: SchedulingPolicy.FirstInFirstOut, urgentInTime: false, guards: 'a baseline that is better than its name',
+		},
+		{
+			policy: SchedulingPolicy.StrictPriority, urgentInTime: true, guards: 'a baseline without priorities',
+		},
+	])('$policy behaves as named in a flood of least work, against $guards', async ({policy, urgentInTime}) => {
+		const {outcomes} = await simulate({
+			policy, slots, durationMilliseconds: 2000, streams: withRate('least', 1200),
+		});
+		expect(getShareOnTime(outcomes.urgent) > 0.99).toBe(urgentInTime);
+	});
+});
--- a/packages/daemon/tests/request/scheduling/slot-simulation.ts
+++ b/packages/daemon/tests/request/scheduling/slot-simulation.ts
@@ -1,5 +1,5 @@
 import {
-	ManualTimerService, Rank, RefusalReason, RequestKind,
+	ManualTimerService, type Rank, type RefusalReason, RequestKind,
 } from '@tarragonstack/core';
 import {type SchedulingPolicy} from '../../../src/request/scheduling/scheduling-policy.js';
 import {SlotQueue, type SlotRequest} from '../../../src/request/scheduling/slot-queue.js';
@@ -56,12 +56,11 @@
 	let running = 0;
 	let maximumRunning = 0;
 	let maximumWaiting = 0;
-	const {signal} = new AbortController();
 	const runOne = async (stream: Stream, outcome: StreamOutcome) => {
 		const sentAt = timerService.now();
 		const lateAt = sentAt + stream.targetMilliseconds;
 		outcome.sent++;
-		const slot = await queue.acquire(getRequest(stream, sentAt), signal);
+		const slot = await queue.acquire(getRequest(stream, sentAt), new AbortController().signal);
 		maximumWaiting = Math.max(maximumWaiting, queue.waitingCount);
 		if (slot.isErr()) {
 			outcome.refused++;
