--- a/packages/daemon/src/process/instance-scheduler-unit-runner.ts
+++ b/packages/daemon/src/process/instance-scheduler-unit-runner.ts
@@ -1,5 +1,5 @@
 import {
-	AcknowledgementMode, RefusalReason, RequestKind, Verdict, type LogPosition, type UpstreamResult,
+	AcknowledgementMode, RefusalReason, RequestKind, TransactionStatus, Verdict, type LogPosition, type UpstreamResult,
 } from '@tarragonstack/core';
 import {type Result} from 'neverthrow';
 import {BackendMessageReader, BackendMessageType} from '../connection/upstream/backend-message-reader.js';
@@ -115,7 +115,7 @@
 		if (unit.verdict === Verdict.Ran && unit.sqlState !== undefined) {
 			await this.#runQueries(job, connection, 'ROLLBACK');
 			onRan();
-			return this.finish(job, {...unit, transactionStatus: reserved.transactionStatus}, expectedTerm);
+			return this.finish(job, {...unit, transactionStatus: TransactionStatus.Idle}, expectedTerm);
 		}
 
 		if (unit.verdict !== Verdict.Ran || unit.committed) {
--- a/packages/daemon/src/request/scheduling/statement-guard.ts
+++ b/packages/daemon/src/request/scheduling/statement-guard.ts
@@ -34,10 +34,14 @@
 	async run(connection: StatementConnection, messages: Uint8Array, options: StatementOptions, limits: StatementLimits): Promise<StatementOutcome> {
 		let closeTimer: Disposable | undefined;
 		const cancel = () => {
-			void connection.cancel();
-			closeTimer ??= this.#timerService.schedule(cancelGraceMilliseconds, () => {
+			if (closeTimer) {
+				return;
+			}
+
+			closeTimer = this.#timerService.schedule(cancelGraceMilliseconds, () => {
 				connection.close();
 			});
+			void connection.cancel();
 		};
 
 		this.#running.set(limits.requestIdentifier, cancel);
--- a/packages/daemon/tests/connection/upstream/fake-postgres-server.ts
+++ b/packages/daemon/tests/connection/upstream/fake-postgres-server.ts
@@ -67,7 +67,7 @@
 	loginError: string | undefined;
 	/** Delay before the server closes a cancel connection, in milliseconds. */
 	cancelGate: Promise<void> = Promise.resolve();
-	readonly #server: Server = createServer(socket => {
+	readonly #server: Server = createServer({noDelay: true}, socket => {
 		this.#accept(socket);
 	});
 
