Adapt the concurrency limit to the slots and to service times

Cause: the limit of an instance has to follow its reported slots and risen service times within a second. Change: ConcurrencyLimit observes 250 ms at a time, tries a lower limit when statements slow down while it is reached, and undoes it when throughput falls, since an evenly slow instance must not get less work than it can do.

--- a/packages/daemon/src/process/instance-scheduler.ts
+++ b/packages/daemon/src/process/instance-scheduler.ts
@@ -445,7 +445,7 @@
 		const slots = status?.slots ?? this.#options.slots;
 		this.#options.pool.resize(slots, status?.connectionLimit ?? this.#options.connectionLimit);
 		this.#permits.setLimit(this.#getPermitLimit(slots));
-		this.#queue.setSlots(slots + (this.#options.extraStatements ?? 0));
+		this.#queue.adapt(slots + (this.#options.extraStatements ?? 0));
 	}
 
 	/** Transactions leave at least one connection for each slot to other work. */
--- a/packages/daemon/src/request/scheduling/service-time-estimates.ts
+++ b/packages/daemon/src/request/scheduling/service-time-estimates.ts
@@ -4,7 +4,7 @@
 const sampleWeight = 0.05;
 
 /** Weight of a new sample in the baseline, against which a slow-down is noticed. */
-const baselineWeight = 0.005;
+const baselineWeight = 0.0005;
 
 /** Expected service time before any statement was measured, in milliseconds. */
 const initialServiceMilliseconds = 5;
@@ -19,6 +19,7 @@
 	readonly deviation: number;
 	/** Mean over a much longer time. */
 	readonly baseline: number;
+	readonly sampleCount: number;
 };
 
 /** What distinguishes classes of statements with different service times. */
@@ -32,7 +33,7 @@
 export class ServiceTimeEstimates {
 	readonly #estimates = new Map<string, ServiceTimeEstimate>();
 	#overall: ServiceTimeEstimate = {
-		mean: initialServiceMilliseconds, deviation: 0, baseline: initialServiceMilliseconds,
+		mean: initialServiceMilliseconds, deviation: 0, baseline: initialServiceMilliseconds, sampleCount: 0,
 	};
 
 	#hasSample = false;
@@ -76,14 +77,20 @@
 }
 
 function getFirst(milliseconds: number): ServiceTimeEstimate {
-	return {mean: milliseconds, deviation: milliseconds / 4, baseline: milliseconds};
+	return {
+		mean: milliseconds, deviation: milliseconds / 4, baseline: milliseconds, sampleCount: 1,
+	};
 }
 
 function update(estimate: ServiceTimeEstimate, milliseconds: number): ServiceTimeEstimate {
 	const difference = milliseconds - estimate.mean;
+	// The first samples count alike; a mere first sample would otherwise dominate for long.
+	const equalWeight = 1 / (estimate.sampleCount + 1);
+	const weight = Math.max(sampleWeight, equalWeight);
 	return {
-		mean: estimate.mean + (sampleWeight * difference),
-		deviation: estimate.deviation + (sampleWeight * (Math.abs(difference) - estimate.deviation)),
-		baseline: estimate.baseline + (baselineWeight * (milliseconds - estimate.baseline)),
+		mean: estimate.mean + (weight * difference),
+		deviation: estimate.deviation + (weight * (Math.abs(difference) - estimate.deviation)),
+		baseline: estimate.baseline + (Math.max(baselineWeight, equalWeight) * (milliseconds - estimate.baseline)),
+		sampleCount: estimate.sampleCount + 1,
 	};
 }
--- a/packages/daemon/src/request/scheduling/slot-queue.ts
+++ b/packages/daemon/src/request/scheduling/slot-queue.ts
@@ -1,5 +1,6 @@
 import {ranks, RefusalReason, type Rank, type Refusal, type TimerService, type UpstreamLoad} from '@tarragonstack/core';
 import {err, ok, type Result} from 'neverthrow';
+import {ConcurrencyLimit} from './concurrency-limit.js';
 import {type QueueState, type ScheduledWork} from './scheduled-work.js';
 import {schedulingStrategies, type SchedulingPolicy} from './scheduling-policy.js';
 import {type SchedulingStrategy} from './scheduling-strategy.js';
@@ -63,18 +64,18 @@
 	readonly #waitingSet = new Set<ScheduledWork>();
 	readonly #running = new Set<RunningWork>();
 	#waitingBytes = 0;
-	#slots: number;
+	readonly #limit: ConcurrencyLimit;
 	#isClosed = false;
 
 	constructor(options: SlotQueueOptions) {
 		this.#options = options;
-		this.#slots = options.slots;
+		this.#limit = new ConcurrencyLimit(options.slots, options.timerService.now());
 		this.#strategy = schedulingStrategies[options.policy]();
 	}
 
-	/** Statements that may run at the same time. */
-	get slots(): number {
-		return this.#slots;
+	/** Statements that may run at the same time at present. */
+	get limit(): number {
+		return this.#limit.limit;
 	}
 
 	get waitingCount(): number {
@@ -86,12 +87,13 @@
 	}
 
 	/**
-	 * Changes the number of statements that may run at the same time.
+	 * Adapts the number of statements that run at the same time. Called several times a second.
 	 *
-	 * @param slots - New number, at least 1.
+	 * @param slots - Number that the instance reports, at least 1.
 	 */
-	setSlots(slots: number): void {
-		this.#slots = Math.max(1, slots);
+	adapt(slots: number): void {
+		this.#limit.setSlots(Math.max(1, slots));
+		this.#limit.update(this.#options.timerService.now());
 		this.#dispatch();
 	}
 
@@ -205,12 +207,12 @@
 		}
 
 		return {
-			now, slots: this.#slots, runningCount: this.#running.size, residualMilliseconds: residual, waiting: this.#waitingSet,
+			now, slots: this.limit, runningCount: this.#running.size, residualMilliseconds: residual, waiting: this.#waitingSet,
 		};
 	}
 
 	#dispatch(): void {
-		while (this.#running.size < this.#slots && this.#waiting.size > 0) {
+		while (this.#running.size < this.limit && this.#waiting.size > 0) {
 			const {next, refused} = this.#strategy.choose(this.#getState());
 			for (const work of refused) {
 				this.#refuse(work, this.#getOverload(work));
@@ -236,12 +238,14 @@
 	}
 
 	#finish(running: RunningWork, isMeasured: boolean): void {
+		const isSaturated = this.#running.size >= this.limit;
 		if (!this.#running.delete(running)) {
 			return;
 		}
 
 		const slotMilliseconds = this.#options.timerService.now() - running.startedAt;
 		if (isMeasured) {
+			this.#limit.add(slotMilliseconds, this.estimates.get(running.work).baseline, isSaturated);
 			this.estimates.add(running.work, slotMilliseconds);
 		}
 
