--- a/packages/daemon/tests/request/scheduling/slot-simulation.ts
+++ b/packages/daemon/tests/request/scheduling/slot-simulation.ts
@@ -56,12 +56,11 @@
 	let running = 0;
 	let maximumRunning = 0;
 	let maximumWaiting = 0;
-	const {signal} = new AbortController();
 	const runOne = async (stream: Stream, outcome: StreamOutcome) => {
 		const sentAt = timerService.now();
 		const lateAt = sentAt + stream.targetMilliseconds;
 		outcome.sent++;
-		const slot = await queue.acquire(getRequest(stream, sentAt), signal);
+		const slot = await queue.acquire(getRequest(stream, sentAt), new AbortController().signal);
 		maximumWaiting = Math.max(maximumWaiting, queue.waitingCount);
 		if (slot.isErr()) {
 			outcome.refused++;
