Test one fault at a time under load on real processes

Cause: the invariants were tested with fakes and without faults of real processes. Change: callers record what they were told, and the record is compared with the log of the final primary.

--- /dev/null
+++ b/packages/bench/src/fuzz/fault.ts
@@ -0,0 +1,240 @@
+import {type FleetInstance, type NetworkSelector} from '../fleet/index.js';
+import {platformZone} from '../fleet/network-control.js';
+import {callJson} from '../fleet/json-client.js';
+import {type FleetObserver} from './fleet-observer.js';
+
+/** Kind of an injected failure. */
+export enum FaultKind {
+	KillPrimary = 'kill-primary',
+	KillReplica = 'kill-replica',
+	KillHost = 'kill-host',
+	KillPrimaryOwner = 'kill-primary-owner',
+	PauseHost = 'pause-host',
+	PausePrimary = 'pause-primary',
+	PausePrimaryOwner = 'pause-primary-owner',
+	IsolatePrimary = 'isolate-primary',
+	IsolatePrimaryOneWay = 'isolate-primary-one-way',
+	PartitionPrimaryZone = 'partition-primary-zone',
+	PartitionZoneOneWay = 'partition-zone-one-way',
+	PartitionPrimaryWithHosts = 'partition-primary-with-hosts',
+	StallPrimary = 'stall-primary',
+	LoseAnswers = 'lose-answers',
+	CutAnswers = 'cut-answers',
+	ResetConnections = 'reset-connections',
+	LagReplicas = 'lag-replicas',
+	KeyValueDown = 'key-value-down',
+	KeyValueHangs = 'key-value-hangs',
+	KeyValueSlow = 'key-value-slow',
+	MembershipDown = 'membership-down',
+	MembershipWrong = 'membership-wrong',
+	LeavingPrimary = 'leaving-primary',
+	LeavingReplica = 'leaving-replica',
+	GracefulStop = 'graceful-stop',
+}
+
+/** Where a fault strikes. */
+export type FaultTarget = {
+	readonly observer: FleetObserver;
+	readonly group: string;
+	/** Number that selects among several possible processes. */
+	readonly choice: number;
+};
+
+/** Ends a fault. */
+export type Heal = () => Promise<void>;
+
+type Inject = (target: FaultTarget) => Promise<Heal>;
+
+async function getPrimaryOrThrow({observer, group}: FaultTarget): Promise<FleetInstance> {
+	const primary = await observer.getPrimary(group);
+	if (!primary) {
+		throw new Error(`${group} has no primary`);
+	}
+
+	return primary;
+}
+
+async function getPrimaryNameOrThrow(target: FaultTarget): Promise<string> {
+	const {name} = await getPrimaryOrThrow(target);
+	return name;
+}
+
+async function getReplicaNameOrThrow(target: FaultTarget): Promise<string> {
+	const primary = await getPrimaryOrThrow(target);
+	const replicas = target.observer.getInstances(target.group).filter(({name}) => name !== primary.name);
+	return replicas[target.choice % replicas.length]!.name;
+}
+
+async function getPrimaryOwnerOrThrow(target: FaultTarget): Promise<string> {
+	const primary = await getPrimaryOrThrow(target);
+	const owner = await target.observer.getOwner(primary.name);
+	if (owner === undefined) {
+		throw new Error(`${primary.name} has no owner`);
+	}
+
+	return owner;
+}
+
+function getHost({observer, choice}: FaultTarget): string {
+	const {hosts} = observer.fleet;
+	return hosts[choice % hosts.length]!.name;
+}
+
+async function kill({observer: {fleet}}: FaultTarget, name: string): Promise<Heal> {
+	await fleet.kill(name);
+	return async () => {
+		await fleet.restart(name);
+	};
+}
+
+async function pause({observer: {fleet}}: FaultTarget, name: string): Promise<Heal> {
+	fleet.pause(name);
+	return async () => {
+		fleet.resume(name);
+	};
+}
+
+async function separate({observer: {fleet}}: FaultTarget, pairs: ReadonlyArray<readonly [NetworkSelector, NetworkSelector]>, bothWays = true): Promise<Heal> {
+	const faults: AsyncDisposable[] = [];
+	for (const [source, destination] of pairs) {
+		faults.push(await fleet.network.inject({
+			source, destination, partition: true, bothWays,
+		}));
+	}
+
+	return async () => {
+		for (const fault of faults) {
+			await fault[Symbol.asyncDispose]();
+		}
+	};
+}
+
+/**
+ * Returns the pairs that separate a zone from the other zones.
+ *
+ * @param target - Where the fault strikes.
+ * @param zone - Zone.
+ */
+export function getZonePairs({observer: {fleet}}: Pick<FaultTarget, 'observer'>, zone: string): Array<readonly [NetworkSelector, NetworkSelector]> {
+	return fleet.deployment.availabilityZones.filter(other => other !== zone).map(other => [{zone}, {zone: other}] as const);
+}
+
+async function controlInstance({observer: {fleet}}: FaultTarget, name: string, settings: Readonly<Record<string, unknown>>, healed: Readonly<Record<string, unknown>>): Promise<Heal> {
+	await fleet.controlInstance(name, settings);
+	return async () => {
+		if (fleet.getProcessOrThrow(name).isRunning) {
+			await fleet.controlInstance(name, healed);
+		}
+	};
+}
+
+async function controlKeyValue({observer: {fleet}}: FaultTarget, settings: Readonly<Record<string, unknown>>): Promise<Heal> {
+	await callJson('POST', `${fleet.keyValueUrl}/control`, settings);
+	return async () => {
+		await callJson('POST', `${fleet.keyValueUrl}/control`, {outage: 'none', delayMilliseconds: 0});
+	};
+}
+
+async function leave({observer: {fleet}}: FaultTarget, name: string): Promise<Heal> {
+	await fleet.register(name, 'leaving');
+	return async () => {
+		await fleet.register(name, 'live');
+	};
+}
+
+/** Injection of each kind of fault. */
+const injections: Readonly<Record<FaultKind, Inject>> = {
+	[FaultKind.KillPrimary]: async target => kill(target, await getPrimaryNameOrThrow(target)),
+	[FaultKind.KillReplica]: async target => kill(target, await getReplicaNameOrThrow(target)),
+	[FaultKind.KillHost]: async target => kill(target, getHost(target)),
+	[FaultKind.KillPrimaryOwner]: async target => kill(target, await getPrimaryOwnerOrThrow(target)),
+	[FaultKind.PauseHost]: async target => pause(target, getHost(target)),
+	[FaultKind.PausePrimary]: async target => pause(target, await getPrimaryNameOrThrow(target)),
+	[FaultKind.PausePrimaryOwner]: async target => pause(target, await getPrimaryOwnerOrThrow(target)),
+	async [FaultKind.IsolatePrimary](target) {
+		const {name} = await getPrimaryOrThrow(target);
+		return separate(target, [[{name}, {}]]);
+	},
+	async [FaultKind.IsolatePrimaryOneWay](target) {
+		const {name} = await getPrimaryOrThrow(target);
+		return separate(target, [[{name}, {}]], false);
+	},
+	async [FaultKind.PartitionPrimaryZone](target) {
+		const {availabilityZone: zone} = await getPrimaryOrThrow(target);
+		return separate(target, [...getZonePairs(target, zone), [{zone}, {zone: platformZone}]]);
+	},
+	async [FaultKind.PartitionZoneOneWay](target) {
+		const {availabilityZones} = target.observer.fleet.deployment;
+		return separate(target, getZonePairs(target, availabilityZones[target.choice % availabilityZones.length]!), false);
+	},
+	async [FaultKind.PartitionPrimaryWithHosts](target) {
+		const primary = await getPrimaryOrThrow(target);
+		const zone = primary.availabilityZone;
+		const believe = await controlInstance(target, primary.name, {ignoreReplicationLoss: true}, {ignoreReplicationLoss: false});
+		const rejoin = await separate(target, getZonePairs(target, zone));
+		return async () => {
+			await rejoin();
+			await believe();
+		};
+	},
+	async [FaultKind.StallPrimary](target) {
+		return controlInstance(target, await getPrimaryNameOrThrow(target), {stall: true}, {stall: false});
+	},
+	async [FaultKind.LoseAnswers](target) {
+		return controlInstance(target, await getPrimaryNameOrThrow(target), {dropAfterWrites: 5}, {dropAfterWrites: 0});
+	},
+	async [FaultKind.CutAnswers](target) {
+		const {name} = await getPrimaryOrThrow(target);
+		const fault = await target.observer.fleet.network.inject({source: {name}, destination: {}, resetAfterResponseBytes: 2000});
+		return async () => fault[Symbol.asyncDispose]();
+	},
+	async [FaultKind.ResetConnections](target) {
+		const {name} = await getPrimaryOrThrow(target);
+		await target.observer.fleet.network.reset({}, {name});
+		return async () => {};
+	},
+	async [FaultKind.LagReplicas](target) {
+		const {fleet} = target.observer;
+		const names = target.observer.getInstances(target.group).map(({name}) => name).filter(name => fleet.getProcessOrThrow(name).isRunning);
+		const heals = await Promise.all(names.map(async name => controlInstance(target, name, {lagMilliseconds: 150}, {lagMilliseconds: 0})));
+		return async () => {
+			await Promise.all(heals.map(async heal => heal()));
+		};
+	},
+	[FaultKind.KeyValueDown]: async target => controlKeyValue(target, {outage: 'refuse'}),
+	[FaultKind.KeyValueHangs]: async target => controlKeyValue(target, {outage: 'hang'}),
+	[FaultKind.KeyValueSlow]: async target => controlKeyValue(target, {delayMilliseconds: 800}),
+	async [FaultKind.MembershipDown]({observer: {fleet}}) {
+		await callJson('POST', `${fleet.membershipUrl}/control`, {outage: true});
+		return async () => {
+			await callJson('POST', `${fleet.membershipUrl}/control`, {outage: false});
+		};
+	},
+	async [FaultKind.MembershipWrong](target) {
+		const {fleet} = target.observer;
+		const host = getHost(target);
+		await fleet.deregister(host);
+		return async () => {
+			await fleet.register(host);
+		};
+	},
+	[FaultKind.LeavingPrimary]: async target => leave(target, await getPrimaryNameOrThrow(target)),
+	[FaultKind.LeavingReplica]: async target => leave(target, await getReplicaNameOrThrow(target)),
+	async [FaultKind.GracefulStop](target) {
+		const {fleet} = target.observer;
+		const host = getHost(target);
+		await fleet.stop(host);
+		return async () => fleet.restart(host);
+	},
+};
+
+/**
+ * Injects a fault.
+ *
+ * @param kind - Kind of the fault.
+ * @param target - Where it strikes.
+ * @returns The function that ends it.
+ */
+export async function injectFault(kind: FaultKind, target: FaultTarget): Promise<Heal> {
+	return injections[kind](target);
+}
--- /dev/null
+++ b/packages/bench/src/fuzz/history.ts
@@ -0,0 +1,185 @@
+import {Effect} from './effect.js';
+import {Invariant, type Violation} from './invariant.js';
+
+/** Kind of a recorded write. */
+export enum WriteKind {
+	/** One row of the table `items`, with the token as its key. */
+	Insert = 'insert',
+	/** The token, appended to a row of the table `counters`. */
+	Append = 'append',
+	/** Two rows of the table `pairs` in one transaction, with the token and `/a` and `/b` as their keys. */
+	Pair = 'pair',
+}
+
+/** One write as a caller sees it. */
+export type WriteRecord = {
+	readonly token: string;
+	readonly kind: WriteKind;
+	readonly owner: string;
+	readonly group: string;
+	effect: Effect;
+	/** Errors and answers in the order of the attempts. */
+	readonly answers: string[];
+};
+
+type Row = Readonly<Record<string, string | null>>;
+
+type LogChange = {
+	readonly table: string;
+	readonly key: string;
+	readonly row?: Row;
+};
+
+/** Dump of an instance. */
+export type InstanceDump = {
+	readonly tables: Readonly<Record<string, readonly Row[]>>;
+	readonly log: ReadonlyArray<{readonly kind: string; readonly changes?: readonly LogChange[]}>;
+};
+
+/** Oracle: what was acknowledged, what may have run and what was refused. */
+export class History {
+	readonly #records: WriteRecord[] = [];
+	readonly #violations: Violation[] = [];
+	#nextToken = 1;
+
+	/** @param prefix - Start of all tokens, so that several histories share a fleet. */
+	constructor(readonly prefix: string) {}
+
+	/** Violations that were seen while requests ran. */
+	get violations(): readonly Violation[] {
+		return this.#violations;
+	}
+
+	/** All writes. */
+	get records(): readonly WriteRecord[] {
+		return this.#records;
+	}
+
+	/** Returns a token that occurs nowhere else. */
+	createToken(): string {
+		return `${this.prefix}-${this.#nextToken++}`;
+	}
+
+	/**
+	 * Records a write before it is sent. Its effect is unknown until the answer is recorded.
+	 *
+	 * @param kind - Kind of the write.
+	 * @param owner - Session or caller.
+	 * @param group - Group of the write.
+	 */
+	begin(kind: WriteKind, owner: string, group: string): WriteRecord {
+		const record: WriteRecord = {
+			token: this.createToken(), kind, owner, group, effect: Effect.Unknown, answers: [],
+		};
+		this.#records.push(record);
+		return record;
+	}
+
+	/**
+	 * Records a contradiction.
+	 *
+	 * @param invariant - Invariant.
+	 * @param message - Observation.
+	 */
+	report(invariant: Invariant, message: string): void {
+		this.#violations.push({invariant, message});
+	}
+
+	/**
+	 * Returns the tokens that were acknowledged to an owner.
+	 *
+	 * @param kind - Kind of the writes.
+	 * @param owner - Session or caller.
+	 */
+	getAcknowledged(kind: WriteKind, owner?: string): string[] {
+		return this.#records
+			.filter(record => record.kind === kind && record.effect === Effect.Acknowledged && (owner === undefined || record.owner === owner))
+			.map(({token}) => token);
+	}
+
+	/**
+	 * Counts the writes with an effect.
+	 *
+	 * @param effect - Effect.
+	 */
+	count(effect: Effect): number {
+		return this.#records.filter(record => record.effect === effect).length;
+	}
+
+	/**
+	 * Compares the history with the final state of a group.
+	 *
+	 * @param group - Group.
+	 * @param dump - Dump of the primary after all faults have ended.
+	 */
+	check(group: string, dump: InstanceDump): Violation[] {
+		const runs = countRuns(dump);
+		const violations = this.#records
+			.filter(record => record.group === group)
+			.flatMap(record => checkRecord(record, runs));
+		return [...violations, ...this.#checkTransactions(dump)];
+	}
+
+	/** The log shows which changes one transaction made. */
+	#checkTransactions(dump: InstanceDump): Violation[] {
+		const violations: Violation[] = [];
+		for (const {changes = []} of dump.log) {
+			const keys = changes.filter(({table, key}) => table === 'pairs' && key.startsWith(`${this.prefix}-`)).map(({key}) => key);
+			if (keys.length > 0 && (changes.length !== 2 || keys[0]!.replace(/\/a$/v, '/b') !== keys[1])) {
+				violations.push({invariant: Invariant.TransactionIsolation, message: `one transaction wrote ${changes.map(({table, key}) => `${table}:${key}`).join(', ')}`});
+			}
+
+			const items = changes.filter(({table, key}) => table === 'items' && key.startsWith(`${this.prefix}-`));
+			if (items.length > 0 && changes.length > 1) {
+				violations.push({invariant: Invariant.TransactionIsolation, message: `a single statement ran in a transaction with ${changes.length} changes`});
+			}
+		}
+
+		return violations;
+	}
+}
+
+/** Counts how often each token took effect. A half of a pair counts as one half. */
+function countRuns({tables}: InstanceDump): ReadonlyMap<string, number> {
+	const runs = new Map<string, number>();
+	const add = (token: string, amount: number) => {
+		runs.set(token, (runs.get(token) ?? 0) + amount);
+	};
+
+	for (const {id} of tables.items ?? []) {
+		add(id!, 1);
+	}
+
+	for (const {id} of tables.pairs ?? []) {
+		add(id!.slice(0, -2), 0.5);
+	}
+
+	for (const {value} of tables.counters ?? []) {
+		for (const token of (value ?? '').split(';').filter(part => part !== '')) {
+			add(token, 1);
+		}
+	}
+
+	return runs;
+}
+
+function checkRecord(record: WriteRecord, runs: ReadonlyMap<string, number>): Violation[] {
+	const {token, kind, effect, answers, group} = record;
+	const count = runs.get(token) ?? 0;
+	const describe = (what: string) => `${group}: ${kind} ${token} ${what}; answers: ${answers.join(' | ')}`;
+	if (count > 1) {
+		return [{invariant: Invariant.AtMostOnce, message: describe(`took effect ${count} times`)}];
+	}
+
+	if (count === 0.5) {
+		return [{invariant: Invariant.TransactionIsolation, message: describe('took effect in part')}];
+	}
+
+	if (effect === Effect.Acknowledged && count === 0) {
+		return [{invariant: Invariant.NoAcknowledgementByReplacedPrimary, message: describe('was acknowledged and is missing')}];
+	}
+
+	return effect === Effect.None && count > 0
+		? [{invariant: Invariant.NotRunHasNoEffect, message: describe('was refused and took effect')}]
+		: [];
+}
--- /dev/null
+++ b/packages/bench/src/fuzz/invariant.ts
@@ -0,0 +1,20 @@
+/** Invariants of section 1.3 of the design page. */
+export enum Invariant {
+	ReadYourWrites = 'I1',
+	NoAcknowledgementByReplacedPrimary = 'I2',
+	TransactionIsolation = 'I3',
+	OwnResponse = 'I4',
+	NotRunHasNoEffect = 'I5',
+	AtMostOnce = 'I6',
+	LeavingUpstream = 'I7',
+	GracefulStop = 'I8',
+	ConfigurationNeverReverts = 'I9',
+	/** Not an invariant of the page: work succeeds again after all faults have ended. */
+	Recovery = 'recovery',
+}
+
+/** Observation that contradicts an invariant. */
+export type Violation = {
+	readonly invariant: Invariant;
+	readonly message: string;
+};
