Ask a replica for its position while reads wait for it

Cause: reads waited for the next regular poll of the replica, which is 50 ms away, and the wait was bounded by the target instead of catchUpMilliseconds.

Change: PositionWaiters asks the instance again and again, at most once a millisecond, while a read waits; one question serves all. The wait ends after catchUpMilliseconds, so that the read can still go to the primary in time.

--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -24,6 +24,9 @@
 /** Time limit for the log-in at an instance, in milliseconds. */
 const logInTimeoutMilliseconds = 1000;
 
+/** Time limit of a question for the status of an instance, in milliseconds. */
+const statusTimeoutMilliseconds = 100;
+
 /** Database name of control connections and pooled connections. Instances serve one database. */
 const upstreamDatabase = 'tarragon';
 
@@ -279,6 +282,12 @@
 			timerService: this.#timerService,
 			policy: this.#settings.schedulingPolicy as SchedulingPolicy,
 			createPool: ({instance}) => this.#createPool(instance),
+			refreshStatus: async ({group, instance}) => {
+				const status = await this.#controls.getControl(instance.name)?.status({timeoutMilliseconds: statusTimeoutMilliseconds});
+				if (status?.isOk()) {
+					this.#monitor.observe(group.name, status.value);
+				}
+			},
 			logger: this.#logger,
 		});
 	}
--- a/packages/daemon/src/process/instance-executors.ts
+++ b/packages/daemon/src/process/instance-executors.ts
@@ -27,6 +27,8 @@
 	readonly policy: SchedulingPolicy;
 	/** Creates the connection pool of an instance. */
 	readonly createPool: (definition: InstanceInGroup) => ConnectionPool;
+	/** Asks an instance for its status and updates the group view. */
+	readonly refreshStatus?: (definition: InstanceInGroup) => Promise<void>;
 	readonly logger?: Logger;
 	readonly extraStatements?: number;
 };
@@ -134,7 +136,7 @@
 		const {instance, group} = definition;
 		let scheduler = this.#schedulers.get(instance.name);
 		if (!scheduler) {
-			const {policy, timerService, groupView, termConfirmation, logger, extraStatements} = this.#options;
+			const {policy, timerService, groupView, termConfirmation, logger, extraStatements, refreshStatus} = this.#options;
 			scheduler = new InstanceScheduler({
 				instance: instance.name,
 				group: group.name,
@@ -146,6 +148,7 @@
 				termConfirmation,
 				pool: this.#options.createPool(definition),
 				...(logger && {logger}),
+				...(refreshStatus && {refreshStatus: async () => refreshStatus(definition)}),
 				...(extraStatements !== undefined && {extraStatements}),
 			});
 			this.#schedulers.set(instance.name, scheduler);
--- a/packages/daemon/src/process/instance-scheduler-options.ts
+++ b/packages/daemon/src/process/instance-scheduler-options.ts
@@ -20,6 +20,8 @@
 	/** The scheduler disposes of the pool. */
 	readonly pool: ConnectionPool;
 	readonly logger?: Logger;
+	/** Asks the instance for its status, for requests that wait for a log position. */
+	readonly refreshStatus?: () => Promise<void>;
 	/** Statements dispatched beyond the slots, so that a slot does not stay empty for a round trip. */
 	readonly extraStatements?: number;
 	readonly maximumQueueEntries?: number;
--- a/packages/daemon/src/process/instance-scheduler.ts
+++ b/packages/daemon/src/process/instance-scheduler.ts
@@ -213,7 +213,7 @@
 
 		// The request is useful elsewhere only if some of its time is left.
 		const service = this.#queue.estimates.get(request).mean;
-		const deadline = Math.min(givenUpAt, lateAt) - (2 * service);
+		const deadline = Math.min(givenUpAt, lateAt - (2 * service), this.#options.timerService.now() + request.catchUpMilliseconds);
 		return await this.#positions.waitFor(request.minimumPosition, deadline)
 			? undefined
 			: {reason: RefusalReason.ReplicaBehind, message: 'the instance has not reached the minimum position'};
--- a/packages/daemon/src/request/scheduling/position-waiters.ts
+++ b/packages/daemon/src/request/scheduling/position-waiters.ts
@@ -1,8 +1,8 @@
 import {compareLogPositions, type LogPosition, type TimerService} from '@tarragonstack/core';
 import {type GroupView} from '../group-view.js';
 
-/** Interval at which the known position is compared; the view is local, so a comparison costs no message. */
-const positionPollIntervalMilliseconds = 5;
+/** Shortest pause between two questions for the status, in milliseconds. Bounds the questions while a replica lags. */
+const questionPauseMilliseconds = 1;
 
 /** Options of the waiters for one instance. */
 export type PositionWaitersOptions = {
@@ -10,6 +10,8 @@
 	readonly groupView: GroupView;
 	readonly group: string;
 	readonly instance: string;
+	/** Asks the instance for its status and updates the view. Without it, the regular polls must suffice. */
+	readonly refreshStatus?: () => Promise<void>;
 };
 
 type Waiter = {
@@ -18,12 +20,20 @@
 	readonly resolve: (isReached: boolean) => void;
 };
 
-/** Requests that wait until an instance has applied a log position. One timer serves all of them. */
+/**
+ * Requests that wait until an instance has applied a log position.
+ *
+ * Regular polls are tens of milliseconds apart, which is longer than a replica needs to catch up. So the instance is
+ * asked again and again while a request waits; one question serves all waiting requests.
+ */
 export class PositionWaiters {
 	readonly #options: PositionWaitersOptions;
 	readonly #waiters = new Set<Waiter>();
-	#subscription: Disposable | undefined;
+	#isAsking = false;
 
+	/**
+	 * @param options - What the waiters depend on.
+	 */
 	constructor(options: PositionWaitersOptions) {
 		this.#options = options;
 	}
@@ -46,9 +56,9 @@
 
 		return new Promise(resolve => {
 			this.#waiters.add({position, deadline, resolve});
-			this.#subscription ??= this.#options.timerService.subscribe(positionPollIntervalMilliseconds, () => {
-				this.#poll();
-			});
+			if (!this.#isAsking) {
+				void this.#ask();
+			}
 		});
 	}
 
@@ -64,7 +74,29 @@
 		return status !== undefined && compareLogPositions(status.position, position) >= 0;
 	}
 
-	#poll(): void {
+	async #ask(): Promise<void> {
+		const {refreshStatus, timerService} = this.#options;
+		this.#isAsking = true;
+		while (this.#waiters.size > 0) {
+			const nextDeadline = Math.min(...[...this.#waiters].map(({deadline}) => deadline));
+			const remaining = Math.max(0, nextDeadline - timerService.now());
+			// A question may outlast the deadline of a request, which must then end without the answer.
+			const questionEnd = new AbortController();
+			await Promise.race([
+				refreshStatus?.() ?? timerService.sleep(questionPauseMilliseconds),
+				timerService.sleep(remaining, questionEnd.signal),
+			]);
+			questionEnd.abort();
+			this.#resolveWaiters();
+			if (this.#waiters.size > 0) {
+				await timerService.sleep(questionPauseMilliseconds);
+			}
+		}
+
+		this.#isAsking = false;
+	}
+
+	#resolveWaiters(): void {
 		const now = this.#options.timerService.now();
 		for (const waiter of this.#waiters) {
 			const isReached = this.#isReached(waiter.position);
@@ -73,10 +105,5 @@
 				waiter.resolve(isReached);
 			}
 		}
-
-		if (this.#waiters.size === 0) {
-			this.#subscription?.[Symbol.dispose]();
-			this.#subscription = undefined;
-		}
 	}
 }
--- a/packages/daemon/tests/process/instance-scheduler.test.ts
+++ b/packages/daemon/tests/process/instance-scheduler.test.ts
@@ -101,6 +101,7 @@
 		refusedRefund: 1,
 		customerWeight: 1,
 		floorShare: 0.2,
+		catchUpMilliseconds: 500,
 		acknowledgement: AcknowledgementMode.Replicated,
 		configurationVersion: 1,
 		...overrides,
--- /dev/null
+++ b/packages/daemon/tests/request/scheduling/position-waiters.test.ts
@@ -0,0 +1,58 @@
+import {ManualTimerService, type LogPosition} from '@tarragonstack/core';
+import {describe, expect, it} from 'vitest';
+import {InstanceRole, PositionWaiters, type GroupView, type InstanceStatus} from '../../../src/index.js';
+
+/** View of one replica that moves on only when its status is asked for. */
+class ReplicaHarness {
+	readonly timerService = new ManualTimerService();
+	position: LogPosition = {term: 1, index: 0};
+	questions = 0;
+	known: LogPosition = {term: 1, index: 0};
+	readonly waiters = new PositionWaiters({
+		timerService: this.timerService,
+		groupView: {
+			getPrimary: () => ({instance: 'primary', term: 1}),
+			getStatus: (): Partial<InstanceStatus> => ({role: InstanceRole.Replica, position: this.known}),
+		} as unknown as GroupView,
+		group: 'g',
+		instance: 'replica',
+		refreshStatus: async () => {
+			this.questions++;
+			await this.timerService.sleep(1);
+			this.known = this.position;
+		},
+	});
+}
+
+describe('PositionWaiters', () => {
+	it('asks the instance at once, which guards against a wait until the next regular poll', async () => {
+		const harness = new ReplicaHarness();
+		harness.position = {term: 1, index: 5};
+		const wait = harness.waiters.waitFor({term: 1, index: 5}, 100);
+		await harness.timerService.advance(2);
+		expect(await wait).toBe(true);
+	});
+
+	it('asks once for all waiting requests', async () => {
+		const harness = new ReplicaHarness();
+		harness.position = {term: 1, index: 5};
+		const waits = Array.from({length: 50}, async () => harness.waiters.waitFor({term: 1, index: 5}, 100));
+		await harness.timerService.advance(5);
+		expect(await Promise.all(waits)).toEqual(Array.from({length: 50}, () => true));
+		expect(harness.questions).toBe(1);
+	});
+
+	it.each([
+		{deadline: 10, reachedAfter: 5, expected: true, guards: 'a replica that catches up in time'},
+		{deadline: 10, reachedAfter: 20, expected: false, guards: 'a wait beyond the deadline'},
+		{deadline: 0, reachedAfter: 20, expected: false, guards: 'a question when no time is left'},
+	])('answers $expected for $guards', async ({deadline, reachedAfter, expected}) => {
+		const harness = new ReplicaHarness();
+		harness.timerService.schedule(reachedAfter, () => {
+			harness.position = {term: 1, index: 5};
+		});
+		const wait = harness.waiters.waitFor({term: 1, index: 5}, deadline);
+		await harness.timerService.advance(30);
+		expect(await wait).toBe(expected);
+	});
+});
