Model leaving instances and test the poll budget at the target size

Cause: the model had no leaving instance, and the polling at the target size was only calculated. Change: the model draws a leaving instance and checks that it does not remain primary; a case polls with 1101 configured instances.

--- a/packages/daemon/tests/request/failover/fencing-model.test.ts
+++ b/packages/daemon/tests/request/failover/fencing-model.test.ts
@@ -78,8 +78,16 @@
 	readonly #definition;
 	#writes = 0;
 
-	constructor(members: number) {
-		this.#definition = createGroupDefinition(members);
+	/**
+	 * @param members - Number of instances.
+	 * @param leavingMember - Index of the instance that is leaving; none if there is no such instance.
+	 */
+	constructor(members: number, leavingMember: number) {
+		const definition = createGroupDefinition(members);
+		this.#definition = {
+			...definition,
+			instances: definition.instances.map((instance, index) => ({...instance, leaving: index === leavingMember})),
+		};
 		this.group = new SimulatedGroup(this.#definition, this.timers);
 		this.group.initialize();
 		this.transport = new PooledTransport(this.group, this.timers);
@@ -287,6 +295,8 @@
 	const primaries = alive.filter(instance => instance.role === InstanceRole.Primary);
 	expect(primaries, `not exactly one primary: ${model.describe()}`).toHaveLength(1);
 	const [primary] = primaries;
+	const needsLeaving = alive.every(instance => instance.definition.leaving);
+	expect(primary?.definition.leaving && !needsLeaving, `a leaving instance remains primary: ${model.describe()}`).toBe(false);
 	for (const instance of alive) {
 		expect(instance === primary || instance.following === primary?.definition.address, model.describe()).toBe(true);
 	}
@@ -306,8 +316,9 @@
 		await fc.assert(fc.asyncProperty(
 			fc.array(stepArbitrary, {minLength: 40, maxLength: 160, size: 'max'}),
 			fc.nat(members - 1),
-			async (steps, deadMember) => {
-				const model = new Model(members);
+			fc.nat(members * 2),
+			async (steps, deadMember, leavingMember) => {
+				const model = new Model(members, leavingMember);
 				await model.run(steps);
 				checkSafety(model);
 				await model.recover(deadMember);
--- a/packages/daemon/tests/request/failover/promoter.test.ts
+++ b/packages/daemon/tests/request/failover/promoter.test.ts
@@ -1,6 +1,8 @@
 import {ManualTimerService} from '@tarragonstack/core';
 import {describe, expect, it} from 'vitest';
-import {InstanceRole, PromotionError} from '../../../src/index.js';
+import {
+	InstanceRole, PromotionError, statusPollBudgetBytesPerSecond, statusPollBytes,
+} from '../../../src/index.js';
 import {LinkState, SimulatedGroup, TimedTransport} from './simulated-group.js';
 import {createGroupDefinition, SimulatedHost} from './simulated-host.js';
 
@@ -12,8 +14,10 @@
 	readonly group;
 	readonly transport;
 	readonly hosts: SimulatedHost[];
+	readonly #otherGroups: number;
 
-	constructor(members: number, options: {readonly hosts?: number; readonly leaving?: readonly string[]} = {}) {
+	constructor(members: number, options: {readonly hosts?: number; readonly leaving?: readonly string[]; readonly otherGroups?: number} = {}) {
+		this.#otherGroups = options.otherGroups ?? 0;
 		const definition = createGroupDefinition(members);
 		this.definition = {
 			...definition,
@@ -40,6 +44,7 @@
 			group: this.group,
 			transport: this.transport,
 			random: () => (order + 1) / 4,
+			otherGroups: this.#otherGroups,
 		});
 	}
 
@@ -125,6 +130,19 @@
 		expect(scenario.getPrimaryTerms()).toHaveLength(1);
 	});
 
+	it('keeps the poll budget at the target size and still replaces a partitioned primary within 9 s', async () => {
+		const scenario = new Scenario(3, {otherGroups: 366});
+		await scenario.timers.advance(10_000);
+		const countArrivals = () => [...scenario.transport.arrivals.values()].reduce((sum, value) => sum + value, 0);
+		const before = countArrivals();
+		await scenario.timers.advance(60_000);
+		const pollsPerSecondAndHost = (countArrivals() - before) / 60 / scenario.hosts.length;
+		expect(pollsPerSecondAndHost * statusPollBytes).toBeLessThan(statusPollBudgetBytesPerSecond * 1.05);
+		scenario.partition('db-1');
+		expect(await scenario.waitForPromotion(20_000)).toBeLessThan(4000);
+		expect(scenario.getPrimaryTerms()).toEqual([['db-2', 2]]);
+	});
+
 	it('keeps a stalled primary from which the replicas still hear (a slow host is not a failed one)', async () => {
 		const scenario = new Scenario(3);
 		await scenario.timers.advance(1000);
--- a/packages/daemon/tests/request/failover/simulated-host.ts
+++ b/packages/daemon/tests/request/failover/simulated-host.ts
@@ -22,9 +22,11 @@
 	};
 }
 
-function createStore(group: GroupDefinition): ConfigurationStore {
+function createStore(group: GroupDefinition, otherGroups: number): ConfigurationStore {
+	const others = Array.from({length: otherGroups}, (_, index) => ({...group, name: `other-${index + 1}`, instances: group.instances.map(instance =>
+		({...instance, name: `other-${index + 1}-${instance.name}`}))}));
 	const configuration: Configuration = {
-		version: 1, changeIdentifier: 'test', author: 'test', time: '2026-01-01T00:00:00Z', contracts: [], groups: [group],
+		version: 1, changeIdentifier: 'test', author: 'test', time: '2026-01-01T00:00:00Z', contracts: [], groups: [group, ...others],
 	};
 	const snapshot: ConfigurationSnapshot = {
 		configuration,
@@ -149,6 +151,8 @@
 		/** Control connections to the instances. */
 		readonly controls: InstanceControlDirectory;
 		readonly random?: () => number;
+		/** Number of further groups in the configuration, of which this host owns no member. */
+		readonly otherGroups?: number;
 	} | {
 		readonly name: string;
 		readonly order: number;
@@ -157,6 +161,8 @@
 		readonly group: SimulatedGroup;
 		readonly transport: SimulatedTransport;
 		readonly random?: () => number;
+		/** Number of further groups in the configuration, of which this host owns no member. */
+		readonly otherGroups?: number;
 	}) {
 		const {name, order, definition} = options;
 		this.name = name;
@@ -170,7 +176,7 @@
 			getOwnedInstances: () => definition.instances.slice(0, 1).map(instance => instance.name),
 			subscribe: () => ({[Symbol.dispose]() {}}),
 		};
-		const configuration = createStore(definition);
+		const configuration = createStore(definition, options.otherGroups ?? 0);
 		this.monitor = new GroupMonitor({
 			timers, configuration, ownership, controls: this.controls,
 		});
