Check the scheduler with random work

Cause: slots, connection limits, verdicts and transactions must hold under any mix of work, losses and aborts. Change: a property test over random requests, policies, slots and limits against an instance in memory.

--- a/packages/daemon/src/connection/upstream/upstream-pool.ts
+++ b/packages/daemon/src/connection/upstream/upstream-pool.ts
@@ -3,7 +3,7 @@
 import {
 	ConnectionError, type ConnectionPool, type StatementConnection,
 } from '../../request/scheduling/statement-connection.js';
-import {type UpstreamConnection, type UpstreamConnectionError} from './upstream-connection.js';
+import {type UpstreamConnectionError} from './upstream-connection.js';
 
 /** Connections of each instance that the pools leave to control connections: 3 members of the group, two owners each. */
 const reservedConnections = 6;
@@ -17,13 +17,23 @@
 const minimumBackOffMilliseconds = 50;
 const maximumBackOffMilliseconds = 2000;
 
+/** Connection as the pool manages it. */
+export type PoolableConnection = StatementConnection & {
+	/** Whether another unit may use the connection. */
+	readonly isClean: boolean;
+	/** Resolves when no cancel is in progress. */
+	readonly cancelFinished: Promise<void>;
+	/** Resolves when the socket is closed, so that the server no longer counts the connection. */
+	readonly closed: Promise<void>;
+};
+
 /** Options of an upstream pool. */
 export type UpstreamPoolOptions = {
 	readonly timerService: TimerService;
 	readonly slots: number;
 	readonly connectionLimit: number;
 	/** Opens one connection. */
-	readonly open: () => Promise<Result<UpstreamConnection, UpstreamConnectionError>>;
+	readonly open: () => Promise<Result<PoolableConnection, UpstreamConnectionError>>;
 	/** Called for each failed attempt to open a connection. */
 	readonly onOpenFailed?: (error: UpstreamConnectionError) => void;
 };
@@ -45,9 +55,9 @@
 /** Bounded pool of clean connections to one instance. */
 export class UpstreamPool implements ConnectionPool {
 	readonly #options: UpstreamPoolOptions;
-	readonly #idle: UpstreamConnection[] = [];
+	readonly #idle: PoolableConnection[] = [];
 	/** All connections whose socket is not closed yet, idle or not. */
-	readonly #connections = new Set<UpstreamConnection>();
+	readonly #connections = new Set<PoolableConnection>();
 	readonly #waiters = new Set<Waiter>();
 	#capacity: number;
 	#warmMinimum: number;
@@ -114,7 +124,7 @@
 
 	/** @inheritdoc */
 	release(connection: StatementConnection): void {
-		void this.#takeBack(connection as UpstreamConnection);
+		void this.#takeBack(connection as PoolableConnection);
 	}
 
 	/** Closes all connections, those in use included. */
@@ -131,7 +141,7 @@
 		await Promise.all(connections.map(connection => connection.closed));
 	}
 
-	#takeIdle(): UpstreamConnection | undefined {
+	#takeIdle(): PoolableConnection | undefined {
 		for (;;) {
 			// The connection used last is taken first: its server process is the warmest.
 			const connection = this.#idle.pop();
@@ -143,7 +153,7 @@
 		}
 	}
 
-	async #takeBack(connection: UpstreamConnection): Promise<void> {
+	async #takeBack(connection: PoolableConnection): Promise<void> {
 		await connection.cancelFinished;
 		if (!connection.isClean || this.#isClosed || this.connectionCount > this.#capacity) {
 			connection.close();
@@ -153,7 +163,7 @@
 		this.#offer(connection);
 	}
 
-	#offer(connection: UpstreamConnection): void {
+	#offer(connection: PoolableConnection): void {
 		const [waiter] = this.#waiters;
 		if (!waiter) {
 			this.#idle.push(connection);
@@ -203,7 +213,7 @@
 		this.#openMissing();
 	}
 
-	async #watch(connection: UpstreamConnection): Promise<void> {
+	async #watch(connection: PoolableConnection): Promise<void> {
 		await connection.closed;
 		this.#connections.delete(connection);
 		const index = this.#idle.indexOf(connection);
--- /dev/null
+++ b/packages/daemon/tests/process/fake-instance.ts
@@ -0,0 +1,151 @@
+import {
+	TransactionStatus, Verdict, type TimerService,
+} from '@tarragonstack/core';
+import {type PoolableConnection} from '../../src/connection/upstream/upstream-pool.js';
+import {type StatementOptions, type StatementOutcome} from '../../src/request/scheduling/statement-connection.js';
+
+/** Statement of a property test, sent as the JSON text of a simple query. */
+export type FakeStatement = {
+	readonly identifier: string;
+	/** Label of the explicit transaction to which the statement belongs. */
+	readonly transaction?: string;
+	readonly action: 'begin' | 'work' | 'commit';
+	readonly milliseconds: number;
+	readonly fate: 'succeed' | 'fail' | 'lose-before-effect' | 'lose-after-effect';
+};
+
+/** Instance in memory that records violations of the proxy's invariants. */
+export class FakeInstance {
+	readonly violations: string[] = [];
+	readonly effects = new Map<string, number>();
+	readonly started = new Set<string>();
+	maximumRunning = 0;
+	maximumConnections = 0;
+	readonly #timerService: TimerService;
+	#runningCount = 0;
+	#connectionCount = 0;
+
+	constructor(timerService: TimerService) {
+		this.#timerService = timerService;
+	}
+
+	async open(): Promise<PoolableConnection> {
+		this.#connectionCount++;
+		this.maximumConnections = Math.max(this.maximumConnections, this.#connectionCount);
+		await this.#timerService.sleep(10);
+		return this.#createConnection();
+	}
+
+	#createConnection(): PoolableConnection {
+		let isOpen = true;
+		let isBusy = false;
+		let transaction: string | undefined;
+		let pendingEffects: string[] = [];
+		let cancelled = new AbortController();
+		let resolveClosed!: () => void;
+		const closed = new Promise<void>(resolve => {
+			resolveClosed = resolve;
+		});
+		const close = () => {
+			if (isOpen) {
+				isOpen = false;
+				this.#connectionCount--;
+				cancelled.abort();
+				resolveClosed();
+			}
+		};
+
+		const lose = (options: Partial<StatementOutcome>): StatementOutcome => {
+			close();
+			return {
+				verdict: Verdict.MayHaveRun, transactionStatus: TransactionStatus.Idle, held: Buffer.alloc(0), writtenBytes: 0, committed: false, ...options,
+			};
+		};
+
+		const answer = (options: Partial<StatementOutcome>): StatementOutcome => ({
+			verdict: Verdict.Ran,
+			transactionStatus: transaction === undefined ? TransactionStatus.Idle : TransactionStatus.InTransaction,
+			held: Buffer.alloc(0),
+			writtenBytes: 0,
+			committed: false,
+			...options,
+		});
+
+		const perform = async (statement: FakeStatement): Promise<StatementOutcome> => {
+			if (statement.action === 'begin' ? transaction !== undefined : transaction !== statement.transaction) {
+				this.violations.push(`${statement.identifier} of ${statement.transaction} ran in ${transaction}`);
+			}
+
+			this.started.add(statement.identifier);
+			this.#runningCount++;
+			this.maximumRunning = Math.max(this.maximumRunning, this.#runningCount);
+			await this.#timerService.sleep(statement.milliseconds, cancelled.signal);
+			this.#runningCount--;
+			if (!isOpen || statement.fate === 'lose-before-effect') {
+				return lose({});
+			}
+
+			if (cancelled.signal.aborted || statement.fate === 'fail') {
+				return answer({sqlState: cancelled.signal.aborted ? '57014' : '23514'});
+			}
+
+			if (statement.action === 'begin') {
+				transaction = statement.transaction;
+			}
+
+			pendingEffects.push(statement.identifier);
+			const isCommitted = transaction === undefined || statement.action === 'commit';
+			if (isCommitted) {
+				for (const identifier of pendingEffects) {
+					this.effects.set(identifier, (this.effects.get(identifier) ?? 0) + 1);
+				}
+
+				pendingEffects = [];
+				transaction = undefined;
+			}
+
+			return statement.fate === 'lose-after-effect' ? lose({}) : answer({committed: statement.action === 'commit'});
+		};
+
+		const isClean = () => isOpen && !isBusy && transaction === undefined;
+		const {violations} = this;
+		return {
+			get isOpen() {
+				return isOpen;
+			},
+			get isClean() {
+				return isClean();
+			},
+			closed,
+			cancelFinished: Promise.resolve(),
+			async run(messages: Uint8Array, _options: StatementOptions) {
+				if (!isOpen || isBusy) {
+					if (isBusy) {
+						violations.push('two units on one connection');
+					}
+
+					return {...lose({}), verdict: Verdict.NotRun};
+				}
+
+				isBusy = true;
+				cancelled = new AbortController();
+				const text = Buffer.from(messages).toString('utf8', 5, messages.length - 1);
+				try {
+					if (text === 'ROLLBACK') {
+						transaction = undefined;
+						pendingEffects = [];
+						return answer({});
+					}
+
+					return await perform(JSON.parse(text) as FakeStatement);
+				} finally {
+					isBusy = false;
+				}
+			},
+			async cancel() {
+				cancelled.abort();
+			},
+			close,
+		};
+	}
+}
