Revive the scheduler of an instance whose ownership returns

Cause: a second scheduler for an instance whose first one still finishes work would exceed the slots. Change: InstanceExecutors takes the first one into use again.

--- a/packages/daemon/src/process/instance-executors.ts
+++ b/packages/daemon/src/process/instance-executors.ts
@@ -37,6 +37,8 @@
 	readonly #schedulers = new Map<string, InstanceScheduler>();
 	/** Schedulers of instances that are no longer owned, until their work has ended. */
 	readonly #retired = new Set<InstanceScheduler>();
+	/** Retired schedulers that still accept work again, by instance. */
+	readonly #revivable = new Map<string, InstanceScheduler>();
 	readonly #retirements = new Set<Promise<void>>();
 	readonly #subscriptions: readonly Disposable[];
 	#isStopping = false;
@@ -118,7 +120,7 @@
 		for (const [instance, scheduler] of this.#schedulers) {
 			if (!owned.has(instance) || !snapshot.getInstance(instance)) {
 				this.#schedulers.delete(instance);
-				this.#retire(scheduler);
+				this.#retire(instance, scheduler);
 			}
 		}
 
@@ -132,7 +134,8 @@
 
 	#updateInstance(definition: InstanceInGroup): void {
 		const {instance, group} = definition;
-		let scheduler = this.#schedulers.get(instance.name);
+		// Two schedulers for one instance would together exceed its slots.
+		let scheduler = this.#schedulers.get(instance.name) ?? this.#revive(instance.name);
 		if (!scheduler) {
 			const {policy, timerService, groupView, termConfirmation, logger, extraStatements} = this.#options;
 			scheduler = new InstanceScheduler({
@@ -158,14 +161,29 @@
 			: undefined);
 	}
 
-	#retire(scheduler: InstanceScheduler): void {
+	#revive(instance: string): InstanceScheduler | undefined {
+		const scheduler = this.#revivable.get(instance);
+		if (scheduler) {
+			this.#revivable.delete(instance);
+			this.#retired.delete(scheduler);
+			this.#schedulers.set(instance, scheduler);
+		}
+
+		return scheduler;
+	}
+
+	#retire(instance: string, scheduler: InstanceScheduler): void {
 		scheduler.setRefusal({reason: RefusalReason.NotOwner, message: 'the host no longer owns the instance'});
 		this.#retired.add(scheduler);
+		this.#revivable.set(instance, scheduler);
 		const retirement = (async () => {
 			const grace = scheduler.transactionCount > 0 ? transactionGraceMilliseconds : ownershipGraceMilliseconds;
 			await scheduler.waitUntilIdle(grace);
-			await scheduler[Symbol.asyncDispose]();
-			this.#retired.delete(scheduler);
+			if (this.#revivable.get(instance) === scheduler) {
+				this.#revivable.delete(instance);
+				await scheduler[Symbol.asyncDispose]();
+				this.#retired.delete(scheduler);
+			}
 		})();
 		this.#retirements.add(retirement);
 		void retirement.finally(() => {
