Reuse the plan of a choice for admissions, and plan 75% of the slot time

Cause: each dispatch in a flood made a second plan for the next admission; with variable service times a plan of 85% let more accepted work become late. Change: admissions use the plan of the last choice; the planned share is 0.75.

--- a/packages/daemon/src/request/scheduling/capacity-profile.ts
+++ b/packages/daemon/src/request/scheduling/capacity-profile.ts
@@ -11,7 +11,7 @@
  * Share of the slot time up to a horizon that a plan fills. The rest absorbs statements that take longer than expected;
  * with a full plan, the last accepted work would be due exactly when it ends and half of it would be late.
  */
-const plannedShare = 0.85;
+const plannedShare = 0.75;
 
 const horizons: readonly number[] = Array.from(
 	{length: horizonCount},
--- a/packages/daemon/src/request/scheduling/refund-strategy.ts
+++ b/packages/daemon/src/request/scheduling/refund-strategy.ts
@@ -53,8 +53,8 @@
 			this.#shares.onStarted(next);
 		}
 
-		// The choice changes the state, so that the next decision needs a plan of its own.
-		this.#plan = undefined;
+		// Admissions may use the plan: the started work takes the slot time that the plan gave it.
+		this.#plan = plan;
 		return {refused, ...(next && {next})};
 	}
 
