--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -84,12 +84,10 @@
  * @param fleet - Running fleet.
  */
 async function hold(fleet: Fleet): Promise<void> {
-	for (const {role, name, pid, addresses} of fleet.readyLines) {
-		process.stdout.write(`${JSON.stringify({
-			role, name, pid, addresses, ...(role === 'host' && {connectionString: fleet.getConnectionString(name)}),
-		})}\n`);
-	}
-
+	const processes = fleet.readyLines.map(({role, name, pid, addresses}) => ({
+		role, name, pid, addresses, ...(role === 'host' && {connectionString: fleet.getConnectionString(name)}),
+	}));
+	process.stdout.write(`${JSON.stringify({event: 'holding', processes})}\n`);
 	await new Promise<void>(resolve => {
 		process.once('SIGINT', resolve);
 		process.once('SIGTERM', resolve);
--- a/packages/stand-ins/src/instance/sql-statement.ts
+++ b/packages/stand-ins/src/instance/sql-statement.ts
@@ -69,6 +69,8 @@
 	readonly table: string;
 	readonly columns: readonly string[];
 	readonly conditions: readonly Condition[];
+	/** Numbers order by value, other texts by code unit. */
+	readonly orderBy?: {readonly column: string; readonly isDescending: boolean};
 	readonly limit?: number;
 	readonly forUpdate: boolean;
 };
--- a/packages/stand-ins/src/instance/statement-executor.ts
+++ b/packages/stand-ins/src/instance/statement-executor.ts
@@ -96,6 +96,20 @@
 	return String(result);
 }
 
+/** Nulls come last, as in PostgreSQL. */
+function compareValues(left: Value, right: Value): number {
+	if (left === null || right === null) {
+		return Number(left === null) - Number(right === null);
+	}
+
+	const difference = Number(left) - Number(right);
+	if (!Number.isNaN(difference)) {
+		return difference;
+	}
+
+	return left < right ? -1 : Number(left > right);
+}
+
 /** Executes single statements. */
 export class StatementExecutor {
 	/** Executed statements. Reads are counted by the role of the instance. */
@@ -354,8 +368,15 @@
 
 	async #select(statement: Of<StatementKind.Select>, context: ExecutionContext): Promise<StatementResult> {
 		const columns = this.describe(statement)!;
-		const found = this.#find(statement.table, statement.conditions, context).slice(0, statement.limit);
-		return {columns, rows: this.#project(columns, found.map(([, row]) => row)), tag: `SELECT ${found.length}`};
+		let rows = this.#find(statement.table, statement.conditions, context).map(([, row]) => row);
+		if (statement.orderBy) {
+			const {column, isDescending} = statement.orderBy;
+			const sign = isDescending ? -1 : 1;
+			rows = rows.toSorted((left, right) => sign * compareValues(left[column] ?? null, right[column] ?? null));
+		}
+
+		rows = rows.slice(0, statement.limit);
+		return {columns, rows: this.#project(columns, rows), tag: `SELECT ${rows.length}`};
 	}
 
 	async #count(statement: Of<StatementKind.Count>, context: ExecutionContext): Promise<StatementResult> {
--- a/packages/stand-ins/src/instance/statement-parser.ts
+++ b/packages/stand-ins/src/instance/statement-parser.ts
@@ -342,14 +342,15 @@
 		}
 
 		const conditions = this.#conditions();
+		let orderBy: {column: string; isDescending: boolean} | undefined;
 		if (this.#take('order', 'by')) {
-			this.#name();
+			orderBy = {column: this.#name(), isDescending: this.#take('desc')};
 			this.#take('asc');
 		}
 
 		const limit = this.#take('limit') ? Number(this.#next().text) : undefined;
 		return {
-			kind: StatementKind.Select, table, columns, conditions, ...(limit !== undefined && {limit}), forUpdate: this.#take('for', 'update'),
+			kind: StatementKind.Select, table, columns, conditions, ...(orderBy && {orderBy}), ...(limit !== undefined && {limit}), forUpdate: this.#take('for', 'update'),
 		};
 	}
 
--- a/packages/stand-ins/src/key-value/key-value-server.ts
+++ b/packages/stand-ins/src/key-value/key-value-server.ts
@@ -1,6 +1,7 @@
+import {type ServerResponse} from 'node:http';
 import {SystemTimerService} from '@tarragonstack/core';
 import {HttpEndpoint, HttpError, type HttpCall} from '../process/index.js';
-import {isInRange, KeyValueStore, type StoreEvent, type StoredEntry} from './key-value-store.js';
+import {isInRange, KeyValueStore, type StoredEntry} from './key-value-store.js';
 import {TokenBucket} from './token-bucket.js';
 
 /** Greatest size of a value, in bytes. */
@@ -26,6 +27,14 @@
 	readonly writesPerSecond: number;
 };
 
+type Watch = {
+	readonly response: ServerResponse;
+	readonly key: string;
+	readonly rangeEnd?: string;
+	/** Position in the list of events from which on events are sent. */
+	nextEvent: number;
+};
+
 type Json = Readonly<Record<string, unknown>>;
 
 function getField(object: Json, snakeCase: string, camelCase: string): unknown {
@@ -44,6 +53,7 @@
 	readonly #store = new KeyValueStore(() => this.#timerService.now());
 	readonly #endpoint = new HttpEndpoint(call => this.#handle(call));
 	readonly #leaseCheck: Disposable;
+	readonly #watches = new Set<Watch>();
 	readonly #calls: Record<string, number> = {};
 	readonly #reads: TokenBucket;
 	readonly #writes: TokenBucket;
@@ -67,6 +77,11 @@
 		this.#options = options;
 		this.#reads = new TokenBucket(options.readsPerSecond, this.#timerService.now());
 		this.#writes = new TokenBucket(options.writesPerSecond, this.#timerService.now());
+		this.#store.subscribe(() => {
+			for (const watch of this.#watches) {
+				this.#sendEvents(watch);
+			}
+		});
 		this.#leaseCheck = this.#timerService.subscribe(leaseCheckIntervalMilliseconds, () => {
 			this.#store.expireLeases();
 		});
@@ -95,13 +110,8 @@
 		}
 
 		this.#calls[call.path] = (this.#calls[call.path] ?? 0) + 1;
-		if (call.path === '/v3/watch' && this.#outage === Outage.None) {
-			await this.#watch(call);
-			return undefined;
-		}
-
 		const route = this.#routes[call.path];
-		if (!route) {
+		if (!route && call.path !== '/v3/watch') {
 			throw new HttpError(404, {error: 'Not Found', code: 5, message: 'Not Found'});
 		}
 
@@ -113,6 +123,11 @@
 			throw new HttpError(503, {error: 'etcdserver: no leader', code: 14, message: 'etcdserver: no leader'});
 		}
 
+		if (!route) {
+			this.#watch(call);
+			return undefined;
+		}
+
 		if (!(route.isWrite ? this.#writes : this.#reads).take(this.#timerService.now())) {
 			throw new HttpError(429, {error: 'etcdserver: too many requests', code: 8, message: 'etcdserver: too many requests'});
 		}
@@ -145,6 +160,14 @@
 			this.#writes.setRate(Number(body.writesPerSecond));
 		}
 
+		for (const watch of this.#watches) {
+			if (this.#outage === Outage.Refuse) {
+				watch.response.destroy();
+			} else {
+				this.#sendEvents(watch);
+			}
+		}
+
 		return {
 			outage: this.#outage, delayMilliseconds: this.#delayMilliseconds, loseWriteReplies: this.#loseWriteReplies, staleChanges: this.#staleChanges,
 		};
@@ -254,41 +277,51 @@
 		return {header: this.#header};
 	}
 
-	async #watch(call: HttpCall): Promise<void> {
+	#watch(call: HttpCall): void {
 		const request = (getField(call.body, 'create_request', 'createRequest') ?? {}) as Json;
-		const key = getText(request, 'key') ?? '';
-		const rangeEnd = getText(request, 'range_end', 'rangeEnd');
 		const startRevision = Number(getText(request, 'start_revision', 'startRevision') ?? 0);
-		const {response} = call;
-		response.writeHead(200, {'content-type': 'application/json'});
-		const send = async (events: readonly StoreEvent[]) => {
-			const matching = events.filter(({entry}) => isInRange(entry.key, key, rangeEnd));
-			if (this.#delayMilliseconds > 0) {
-				await this.#timerService.sleep(this.#delayMilliseconds);
-			}
-
-			if (matching.length > 0 && this.#outage === Outage.None) {
-				response.write(`${JSON.stringify({
-					result: {
-						header: this.#header,
-						events: matching.map(({type, entry}) => ({...(type === 'DELETE' && {type}), kv: entry})),
-					},
-				})}\n`);
-			} else if (matching.length > 0) {
-				response.destroy();
-			}
+		const rangeEnd = getText(request, 'range_end', 'rangeEnd');
+		const first = startRevision === 0 ? -1 : this.#store.events.findIndex(({revision}) => revision >= startRevision);
+		const watch: Watch = {
+			response: call.response,
+			key: getText(request, 'key') ?? '',
+			...(rangeEnd !== undefined && {rangeEnd}),
+			nextEvent: first === -1 ? this.#store.events.length : first,
 		};
+		this.#watches.add(watch);
+		watch.response.on('close', () => {
+			this.#watches.delete(watch);
+		});
+		watch.response.writeHead(200, {'content-type': 'application/json'});
+		watch.response.write(`${JSON.stringify({result: {header: this.#header, created: true}})}\n`);
+		this.#sendEvents(watch);
+	}
 
-		response.write(`${JSON.stringify({result: {header: this.#header, created: true}})}\n`);
-		if (startRevision > 0) {
-			await send(this.#store.events.filter(({revision}) => revision >= startRevision));
+	/** Sends the events that a watch has not seen. While the service hangs, they wait. */
+	#sendEvents(watch: Watch): void {
+		if (this.#outage !== Outage.None) {
+			return;
 		}
 
-		const subscription = this.#store.subscribe(events => {
-			void send(events);
-		});
-		response.on('close', () => {
-			subscription[Symbol.dispose]();
-		});
+		const events = this.#store.events.slice(watch.nextEvent).filter(({entry}) => isInRange(entry.key, watch.key, watch.rangeEnd));
+		watch.nextEvent = this.#store.events.length;
+		if (events.length === 0) {
+			return;
+		}
+
+		const line = `${JSON.stringify({
+			result: {
+				header: this.#header,
+				// The JSON mapping omits the type PUT, because it is the default.
+				events: events.map(({type, entry}) => ({...(type === 'DELETE' && {type}), kv: entry})),
+			},
+		})}\n`;
+		if (this.#delayMilliseconds === 0) {
+			watch.response.write(line);
+		} else {
+			this.#timerService.schedule(this.#delayMilliseconds, () => {
+				watch.response.write(line);
+			});
+		}
 	}
 }
--- a/packages/stand-ins/tests/instance/database-instance.test.ts
+++ b/packages/stand-ins/tests/instance/database-instance.test.ts
@@ -104,6 +104,9 @@
 		{
 			guards: 'a list that returns too many rows', run: ['INSERT INTO t (id) VALUES (1), (2), (3)'], read: 'SELECT id FROM t WHERE id IN (1, 3) LIMIT 5', rows: [{id: '1'}, {id: '3'}],
 		},
+		{
+			guards: 'an order by text instead of by number', run: ['INSERT INTO t (id) VALUES (9), (10), (8)'], read: 'SELECT id FROM t ORDER BY id DESC LIMIT 2', rows: [{id: '10'}, {id: '9'}],
+		},
 		{
 			guards: 'several statements in one query that do not commit', run: ['BEGIN; INSERT INTO t (id) VALUES (7); COMMIT'], read: 'SELECT * FROM t', rows: [{id: '7'}],
 		},
@@ -188,3 +191,130 @@
 		expect(codes.filter(code => code === '40001')).toHaveLength(1);
 	});
 });
+
+describe('protocol', () => {
+	it('reports the transaction status, on which the reuse of a connection depends', async () => {
+		const {client} = await startPrimary();
+		const statuses: string[] = [];
+		(client as any).connection.on('readyForQuery', (message: {status: string}) => {
+			statuses.push(message.status);
+		});
+		for (const statement of ['SELECT 1', 'BEGIN', 'SELECT 1', 'SELECT nothing FROM', 'ROLLBACK']) {
+			await getCode(client.query(statement));
+		}
+
+		expect(statuses).toEqual(['I', 'T', 'T', 'E', 'I']);
+	});
+
+	it('returns one result for each statement of a query', async () => {
+		const {client} = await startPrimary();
+		const results = await client.query('INSERT INTO t (id) VALUES (1); SELECT id FROM t; SELECT count(*) FROM t') as unknown as pg.QueryResult[];
+		expect(results.map(({command, rows}) => ({command, rows}))).toEqual([
+			{command: 'INSERT', rows: []}, {command: 'SELECT', rows: [{id: '1'}]}, {command: 'SELECT', rows: [{count: '1'}]},
+		]);
+	});
+
+	it('undoes all statements of a query when one fails', async () => {
+		const {client} = await startPrimary();
+		expect(await getCode(client.query('INSERT INTO t (id) VALUES (1); INSERT INTO t (id) VALUES (1)'))).toBe('23505');
+		const {rows} = await client.query('SELECT count(*) FROM t');
+		expect(rows).toEqual([{count: '0'}]);
+	});
+
+	it.each([
+		{guards: 'a wrong password', options: {password: 'other'}, code: '28P01'},
+		{guards: 'a missing password', options: {password: ''}, code: '28P01'},
+	])('refuses $guards', async ({options, code}) => {
+		const instance = await startInstance({password: 'secret'});
+		expect(await getCode(connect(instance.database, options))).toBe(code);
+		await connect(instance.database);
+	});
+
+	it('refuses connections beyond the limit with 53300 and takes new ones when others have ended', async () => {
+		const instance = await startInstance({connectionLimit: 2});
+		const first = await connect(instance.database);
+		await connect(instance.database);
+		expect(await getCode(connect(instance.database))).toBe('53300');
+		await first.end();
+		await waitFor(async () => await getCode(connect(instance.database)) === undefined);
+	});
+
+	it('takes the set time to open a connection, because the cost of connections is part of the experiments', async () => {
+		const instance = await startInstance({connectMilliseconds: 50});
+		const before = timerService.now();
+		await connect(instance.database);
+		expect(timerService.now() - before).toBeGreaterThanOrEqual(49);
+	});
+
+	it.each([
+		{guards: 'a statement that runs', slots: 1},
+		{guards: 'a statement that waits for a slot', slots: 0},
+	])('cancels $guards with 57014 and keeps the connection usable', async ({slots}) => {
+		const primary = await startPrimary({slots: 1});
+		await control(primary, {slots});
+		const sleeping = getCode(primary.client.query('SELECT pg_sleep(30)'));
+		await waitFor(async () => {
+			const response = await fetch(`http://${primary.control}/status`);
+			const status = await response.json() as {slots: {used: number; waiting: number}};
+			return status.slots.used + status.slots.waiting === 1;
+		});
+		const canceller = new pg.Client({host: '127.0.0.1', port: Number(primary.database.split(':')[1])});
+		(canceller as any).cancel(primary.client, (primary.client as any)._activeQuery ?? (primary.client as any).activeQuery);
+		expect(await sleeping).toBe('57014');
+		await control(primary, {slots: 1});
+		await primary.client.query('SELECT 1');
+	});
+});
+
+describe('slots', () => {
+	it('executes at most the set number of statements at the same time', async () => {
+		const primary = await startPrimary({slots: 2});
+		const clients = await Promise.all(Array.from({length: 6}, async () => connect(primary.database)));
+		const before = timerService.now();
+		await Promise.all(clients.map(async client => client.query('/*service_ms=50*/ SELECT 1')));
+		// Six statements of 50 ms in two slots take three rounds.
+		expect(timerService.now() - before).toBeGreaterThanOrEqual(147);
+	});
+
+	it('answers control functions while all slots are in use, so that a busy instance is not taken for a lost one', async () => {
+		const primary = await startPrimary({slots: 1});
+		const other = await connect(primary.database);
+		await control(primary, {stall: true});
+		const stalled = other.query('SELECT 1');
+		expect(await getStatus(primary.client)).toMatchObject({role: 'primary', slots: 1});
+		await control(primary, {stall: false});
+		await stalled;
+	});
+
+	it.each([
+		{guards: 'a changed number of slots', settings: {slots: 6}, limit: 100},
+		{guards: 'a service time factor', settings: {serviceTimeFactor: 0.1}, limit: 140},
+	])('applies $guards', async ({settings, limit}) => {
+		const primary = await startPrimary({slots: 1});
+		await control(primary, settings);
+		const clients = await Promise.all(Array.from({length: 6}, async () => connect(primary.database)));
+		const before = timerService.now();
+		await Promise.all(clients.map(async client => client.query('/*service_ms=50*/ SELECT 1')));
+		// Without the change, six statements of 50 ms in one slot take 300 ms.
+		expect(timerService.now() - before).toBeLessThan(limit + 100);
+	});
+});
+
+describe('faults', () => {
+	it('closes the next connections at their start', async () => {
+		const instance = await startInstance();
+		await control(instance, {failConnections: 1});
+		expect(await getCode(connect(instance.database).then(() => undefined))).not.toBe('28P01');
+		await connect(instance.database);
+	});
+
+	it('drops the connection after a write took effect, so that a caller cannot know the outcome', async () => {
+		const primary = await startPrimary();
+		await control(primary, {dropAfterWrites: 1});
+		await primary.client.query('SELECT 1');
+		await expect(primary.client.query('INSERT INTO t (id) VALUES (1)')).rejects.toThrow();
+		const other = await connect(primary.database);
+		const {rows} = await other.query('SELECT id FROM t');
+		expect(rows).toEqual([{id: '1'}]);
+	});
+});
--- /dev/null
+++ b/packages/stand-ins/tests/relay/relay.test.ts
@@ -0,0 +1,240 @@
+import {once} from 'node:events';
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+import {SystemTimerService} from '@tarragonstack/core';
+import {Relay} from '../../src/index.js';
+
+const timerService = new SystemTimerService();
+const resources: AsyncDisposable[] = [];
+
+afterEach(async () => {
+	for (const resource of resources.splice(0).toReversed()) {
+		await resource[Symbol.asyncDispose]();
+	}
+});
+
+async function startServer(onConnection: (socket: Socket) => void): Promise<string> {
+	const sockets = new Set<Socket>();
+	const server = createServer(socket => {
+		sockets.add(socket);
+		socket.on('error', () => {});
+		onConnection(socket);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	resources.push({
+		async [Symbol.asyncDispose]() {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	});
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** Starts a relay in front of a server. Connections come from 127.0.0.2, the source `client` in the zone `a`. */
+async function start(onConnection: (socket: Socket) => void = socket => socket.pipe(socket)) {
+	const relay = new Relay({address: '127.0.0.1', port: 0});
+	resources.push(relay);
+	const url = `http://${await relay.listen()}`;
+	const call = async (method: string, path: string, body?: unknown): Promise<any> => {
+		const response = await fetch(url + path, {method, ...(body !== undefined && {body: JSON.stringify(body)})});
+		expect(response.status).toBe(200);
+		return response.json();
+	};
+
+	await call('POST', '/sources', {address: '127.0.0.2', name: 'client', zone: 'a'});
+	const {address} = await call('POST', '/destinations', {name: 'server', zone: 'b', address: await startServer(onConnection)});
+	const open = async () => {
+		const [host, port] = address.split(':');
+		const socket = connect({host, port: Number(port), localAddress: '127.0.0.2', noDelay: true});
+		socket.on('error', () => {});
+		resources.push({
+			async [Symbol.asyncDispose]() {
+				socket.destroy();
+			},
+		});
+		await once(socket, 'connect');
+		return socket;
+	};
+
+	return {call, open};
+}
+
+async function receive(socket: Socket, bytes: number): Promise<string> {
+	let received = '';
+	while (received.length < bytes) {
+		const [chunk] = await once(socket, 'data');
+		received += chunk.toString();
+	}
+
+	return received;
+}
+
+/** Waits for the end of a connection and tells whether it was an error. */
+async function waitForClose(socket: Socket): Promise<boolean> {
+	return new Promise(resolve => {
+		socket.on('close', resolve);
+	});
+}
+
+/** Returns what arrives within a short time. */
+async function receiveNothing(socket: Socket): Promise<string> {
+	let received = '';
+	const listener = (chunk: Buffer) => {
+		received += chunk.toString();
+	};
+
+	socket.on('data', listener);
+	await timerService.sleep(150);
+	socket.off('data', listener);
+	return received;
+}
+
+const there = {source: {zone: 'a'}, destination: {name: 'server'}};
+const back = {source: {name: 'server'}, destination: {name: 'client'}};
+
+describe('delay', () => {
+	it('delays both directions and keeps the order of the bytes', async () => {
+		const {call, open} = await start();
+		await call('POST', '/rules', {...there, delayMilliseconds: 50, bothWays: true});
+		const socket = await open();
+		const before = timerService.now();
+		const received = receive(socket, 300);
+		let sent = '';
+		for (let index = 0; index < 100; index++) {
+			const message = String(index).padStart(3, '0');
+			sent += message;
+			socket.write(message);
+		}
+
+		expect(await received).toBe(sent);
+		const elapsed = timerService.now() - before;
+		expect(elapsed).toBeGreaterThanOrEqual(98);
+	});
+
+	it('keeps the order when a delay ends while bytes are still held', async () => {
+		const {call, open} = await start();
+		const {identifiers} = await call('POST', '/rules', {...there, delayMilliseconds: 100});
+		const socket = await open();
+		const received = receive(socket, 6);
+		socket.write('one');
+		await timerService.sleep(20);
+		await call('DELETE', `/rules/${identifiers.join(',')}`);
+		socket.write('two');
+		expect(await received).toBe('onetwo');
+	});
+});
+
+describe('partition', () => {
+	it.each([
+		{guards: 'requests that pass a partition towards the server', rule: {...there, partition: true}},
+		{guards: 'responses that pass a partition towards the client', rule: {...back, partition: true}},
+		{guards: 'bytes that pass a partition in both directions', rule: {...there, partition: true, bothWays: true}},
+		{guards: 'an empty selector that does not match everything', rule: {source: {}, destination: {name: 'server'}, partition: true}},
+	])('guards against $guards, and lets the bytes through when it ends', async ({rule}) => {
+		const {call, open} = await start();
+		const socket = await open();
+		const first = receive(socket, 5);
+		socket.write('first');
+		await first;
+		await call('POST', '/rules', rule);
+		socket.write('held');
+		expect(await receiveNothing(socket)).toBe('');
+		const rest = receive(socket, 4);
+		await call('DELETE', '/rules');
+		expect(await rest).toBe('held');
+	});
+
+	it('leaves the connections of other sources alone', async () => {
+		const {call, open} = await start();
+		await call('POST', '/rules', {source: {name: 'other'}, destination: {name: 'server'}, partition: true, bothWays: true});
+		const socket = await open();
+		const received = receive(socket, 2);
+		socket.write('ok');
+		expect(await received).toBe('ok');
+	});
+
+	it('lets new connections hang, so that a client meets its own time limit', async () => {
+		let connections = 0;
+		const {call, open} = await start(socket => {
+			connections++;
+			socket.pipe(socket);
+		});
+		await call('POST', '/rules', {...there, partition: true, bothWays: true});
+		const socket = await open();
+		socket.write('x');
+		expect(await receiveNothing(socket)).toBe('');
+		expect(connections).toBe(0);
+	});
+});
+
+describe('reset', () => {
+	it('resets connections at once', async () => {
+		const {call, open} = await start();
+		const socket = await open();
+		const received = receive(socket, 1);
+		socket.write('x');
+		await received;
+		const closed = waitForClose(socket);
+		expect(await call('POST', '/reset', {source: {name: 'client'}, destination: {name: 'server'}})).toEqual({reset: 1});
+		expect(await closed).toBe(true);
+	});
+
+	it('resets after a number of response bytes, so that a client holds part of a response', async () => {
+		const {call, open} = await start();
+		const socket = await open();
+		await call('POST', '/rules', {...back, resetAfterResponseBytes: 4});
+		const closed = waitForClose(socket);
+		let received = '';
+		socket.on('data', (chunk: Buffer) => {
+			received += chunk.toString();
+		});
+		socket.write('abcdefgh');
+		await closed;
+		expect('abcd'.startsWith(received)).toBe(true);
+	});
+
+	it('passes a refused connection on as a reset', async () => {
+		const {call} = await start();
+		const {address} = await call('POST', '/destinations', {name: 'gone', zone: 'b', address: '127.0.0.1:1'});
+		const [host, port] = address.split(':');
+		const socket = connect({host, port: Number(port), localAddress: '127.0.0.2'});
+		const [error] = await once(socket, 'error');
+		expect(error.code).toBe('ECONNRESET');
+	});
+});
+
+describe('flow control', () => {
+	it('stops to read from a sender whose receiver does not read, so that the relay\'s memory stays bounded', async () => {
+		const {open} = await start(socket => {
+			socket.pause();
+		});
+		const socket = await open();
+		const chunk = Buffer.alloc(65_536);
+		let accepted = 0;
+		const limit = 64 * 1_048_576;
+		while (accepted < limit && socket.writableLength < 1_048_576) {
+			socket.write(chunk);
+			accepted += chunk.length;
+			await timerService.sleep(0);
+		}
+
+		expect(accepted).toBeLessThan(limit);
+	});
+
+	it('carries the end of a stream, so that a response until the end of the connection is complete', async () => {
+		const {call, open} = await start(socket => {
+			socket.end('x'.repeat(1_000_000));
+		});
+		await call('POST', '/rules', {...back, delayMilliseconds: 20});
+		const socket = await open();
+		let length = 0;
+		socket.on('data', (chunk: Buffer) => {
+			length += chunk.length;
+		});
+		await once(socket, 'end');
+		expect(length).toBe(1_000_000);
+	});
+});
