Add the experiment tool

Open-loop load from generator processes on a fleet of real processes, accounting by rank, an offline lower bound for the refunds, event-loop delay and CPU of all processes, a table, a JSON line and an HTML page with plots (uplot). Unknown outcomes now cost the refund for lateness, as the accounting rule says.

--- /dev/null
+++ b/packages/bench/src/experiment/load-workers.ts
@@ -0,0 +1,117 @@
+import {fork, type ChildProcess} from 'node:child_process';
+import {getCompiledPath} from '../fleet/compiled-path.js';
+import {type LoadTask, type LoadWorkerCommand, type LoadWorkerReport} from './load-worker-messages.js';
+import {type RequestRecord} from './request-record.js';
+
+/** Requests per second of one process. A process handles about three times as many before its event loop lags. */
+const requestsPerSecondPerWorker = 2000;
+
+/** Greatest number of load generator processes; the fleet needs the other cores. */
+const maximumWorkers = 4;
+
+/** Pause between the start command and the start, in milliseconds, so that all processes start together. */
+const startDelayMilliseconds = 200;
+
+/** Results of all load generator processes. */
+export type LoadWorkersResult = {
+	readonly records: readonly RequestRecord[];
+	readonly missedOwnWrites: number;
+};
+
+/** Load generator processes that share one load. */
+export class LoadWorkers implements Disposable {
+	readonly #task: LoadTask;
+	readonly #workers: readonly ChildProcess[];
+	#results: Array<Promise<LoadWorkerReport>> = [];
+
+	/** @param task - Load of all processes together. */
+	constructor(task: LoadTask) {
+		this.#task = task;
+		let requestsPerSecond = 0;
+		for (const load of task.loads) {
+			requestsPerSecond += load.requestsPerSecond;
+		}
+
+		const count = Math.min(maximumWorkers, Math.max(1, Math.ceil(requestsPerSecond / requestsPerSecondPerWorker)));
+		const script = getCompiledPath('@tarragonstack/bench', 'experiment/load-worker.js');
+		this.#workers = Array.from({length: count}, () => fork(script, {serialization: 'advanced'}));
+	}
+
+	/** Process identifiers. */
+	get pids(): number[] {
+		return this.#workers.map(({pid}) => pid!);
+	}
+
+	/** Opens the connections of all processes. */
+	async prepare(): Promise<void> {
+		const count = this.#workers.length;
+		await Promise.all(this.#workers.map(async (worker, index) => {
+			const ready = receive(worker);
+			send(worker, {
+				kind: 'prepare',
+				task: {
+					...this.#task,
+					loads: this.#task.loads.map(load => ({...load, requestsPerSecond: load.requestsPerSecond / count})),
+					seed: (this.#task.seed * 1000) + (index * 10),
+					prefix: `${this.#task.prefix}-${index}`,
+					warmConnections: Math.ceil(this.#task.warmConnections / count),
+				},
+			});
+			await ready;
+		}));
+	}
+
+	/**
+	 * Starts the load.
+	 *
+	 * @returns The time of the start, in milliseconds of the system clock.
+	 */
+	start(): number {
+		const startAt = Date.now() + startDelayMilliseconds;
+		this.#results = this.#workers.map(async worker => {
+			const result = receive(worker);
+			send(worker, {kind: 'start', startAt});
+			return result;
+		});
+		return startAt;
+	}
+
+	/** Waits for the results. */
+	async finish(): Promise<LoadWorkersResult> {
+		const records: RequestRecord[] = [];
+		let missedOwnWrites = 0;
+		for (const report of await Promise.all(this.#results)) {
+			if (report.kind === 'finished') {
+				missedOwnWrites += report.missedOwnWrites;
+				for (const record of report.records) {
+					records.push(record);
+				}
+			}
+		}
+
+		records.sort((left, right) => left.arrival - right.arrival);
+		return {records, missedOwnWrites};
+	}
+
+	/** Ends the processes. */
+	[Symbol.dispose](): void {
+		for (const worker of this.#workers) {
+			worker.kill('SIGKILL');
+		}
+	}
+}
+
+function send(worker: ChildProcess, command: LoadWorkerCommand): void {
+	worker.send(command);
+}
+
+async function receive(worker: ChildProcess): Promise<LoadWorkerReport> {
+	return new Promise((resolve, reject) => {
+		worker.once('message', message => {
+			resolve(message as LoadWorkerReport);
+		});
+		worker.once('exit', code => {
+			reject(new Error(`a load generator process ended with exit code ${code}`));
+		});
+	});
+}
--- /dev/null
+++ b/packages/bench/src/experiment/main.ts
@@ -0,0 +1,95 @@
+#!/usr/bin/env node
+import {writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {SystemTimerService} from '@tarragonstack/core';
+import {SchedulingPolicy} from '@tarragonstack/daemon';
+import {
+	binary, command, flag, number, oneOf, option, optional, positional, run, string,
+} from 'cmd-ts';
+import {DeploymentName, deployments, loadContracts} from '../fleet/index.js';
+import {ExperimentName} from './experiment-name.js';
+import {experiments} from './experiments.js';
+import {measureOverhead, overheadDescription} from './overhead.js';
+import {createHtml} from './report-html.js';
+import {formatReport} from './report-table.js';
+import {runExperiment} from './run-experiment.js';
+
+/** Greatest duration of an experiment with its start and its end. */
+const limitMilliseconds = 50_000;
+
+/** Exit code of an experiment that took too long. */
+const limitExitCode = 4;
+
+const timerService = new SystemTimerService();
+
+function describeAll(): string {
+	return Object.values(ExperimentName)
+		.map(name => `${name.padEnd(18)}${name === ExperimentName.Overhead ? overheadDescription : experiments[name].description}`)
+		.join('\n');
+}
+
+const experiment = command({
+	name: 'experiment',
+	description: 'Loads a fleet on stand-ins and compares the figures with the targets.',
+	args: {
+		name: positional({type: optional(oneOf(Object.values(ExperimentName))), displayName: 'NAME', description: 'experiment'}),
+		list: flag({long: 'list', description: 'describe the experiments'}),
+		deployment: option({
+			long: 'deployment', type: oneOf(Object.values(DeploymentName)), defaultValue: () => DeploymentName.Ronquido, description: 'example deployment',
+		}),
+		policy: option({
+			long: 'policy', type: oneOf(Object.values(SchedulingPolicy)), defaultValue: () => SchedulingPolicy.RefundPerSlotTime, description: 'scheduling policy',
+		}),
+		examples: option({
+			long: 'examples',
+			type: string,
+			defaultValue: () => fileURLToPath(new URL('../../../../examples', import.meta.url)),
+			description: 'directory with one folder of contracts per deployment',
+		}),
+		seed: option({
+			long: 'seed', type: number, defaultValue: () => 1, description: 'seed of the load',
+		}),
+		scale: option({
+			long: 'scale', type: number, defaultValue: () => 1, description: 'factor for the rate and the duration of the load, for a short trial',
+		}),
+		html: option({long: 'html', type: optional(string), description: 'file for a report with plots'}),
+		json: flag({long: 'json', description: 'print the figures as one JSON object on the last line'}),
+	},
+	async handler({name, list, html, json, ...options}) {
+		if (list || name === undefined) {
+			process.stdout.write(`${describeAll()}\n`);
+			return;
+		}
+
+		const deployment = deployments[options.deployment];
+		const contracts = await loadContracts(path.join(options.examples, deployment.name));
+		const {policy, seed, scale} = options;
+		if (name === ExperimentName.Overhead) {
+			const overhead = await measureOverhead(deployment, contracts, seed);
+			process.stdout.write(`${JSON.stringify({experiment: name, deployment: deployment.name, policy, seed, ...overhead})}\n`);
+			return;
+		}
+
+		const report = await runExperiment({
+			name, experiment: experiments[name], deployment, contracts, policy, seed, scale,
+		});
+		process.stdout.write(`${formatReport(report)}\n`);
+		if (html !== undefined) {
+			await writeFile(html, await createHtml(report));
+		}
+
+		if (json) {
+			const {series: _, ...figures} = report;
+			process.stdout.write(`${JSON.stringify(figures)}\n`);
+		}
+	},
+});
+
+timerService.schedule(limitMilliseconds, () => {
+	process.stderr.write('the experiment took too long\n');
+	process.exit(limitExitCode);
+});
+await run(binary(experiment), process.argv);
+process.exit(0);
--- /dev/null
+++ b/packages/bench/src/experiment/overhead.ts
@@ -0,0 +1,124 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {pathToFileURL} from 'node:url';
+import {SystemTimerService, type Contract} from '@tarragonstack/core';
+import {build} from 'hdr-histogram-js';
+import pg from 'pg';
+import {getCompiledPath} from '../fleet/compiled-path.js';
+import {Fleet, type Deployment} from '../fleet/index.js';
+import {directoryVariable, summarizeProcesses} from './process-samples.js';
+
+/** What the experiment measures. */
+export const overheadDescription = 'added latency of one host, and the statements a second that it carries';
+
+const latencySamples = 1500;
+const throughputConnections = 64;
+const throughputMilliseconds = 6000;
+const throughputWarmUpMilliseconds = 1000;
+
+/** Slots of the instances, many so that the host is the bottleneck. */
+const slots = 200;
+const connectionLimit = 500;
+
+const microsecondsPerMillisecond = 1000;
+const statement = '/*rank=\'least\',service_ms=\'0\'*/ SELECT id FROM load_entries WHERE id = \'none\'';
+
+const timerService = new SystemTimerService();
+
+type Latency = {readonly p50Milliseconds: number; readonly p99Milliseconds: number};
+
+/** Figures of the experiment. */
+export type Overhead = {
+	readonly direct: Latency;
+	readonly host: Latency;
+	readonly addedP50Milliseconds: number;
+	readonly addedP99Milliseconds: number;
+	readonly statementsPerSecond: number;
+	/** CPU time of the host during the throughput measurement as a share of one core. */
+	readonly hostCpuShare: number;
+	readonly statementsPerCoreSecond: number;
+	readonly loadAverage: number;
+};
+
+async function measureLatency(connectionString: string): Promise<Latency> {
+	const client = new pg.Client({connectionString});
+	await client.connect();
+	const histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3});
+	for (let index = 0; index < latencySamples; index++) {
+		const startTime = timerService.now();
+		await client.query(statement);
+		histogram.recordValue(Math.max(1, Math.round((timerService.now() - startTime) * microsecondsPerMillisecond)));
+	}
+
+	await client.end();
+	return {
+		p50Milliseconds: histogram.getValueAtPercentile(50) / microsecondsPerMillisecond,
+		p99Milliseconds: histogram.getValueAtPercentile(99) / microsecondsPerMillisecond,
+	};
+}
+
+/** Runs statements back to back on many connections and returns the number that ended after the warm-up. */
+async function countStatements(connectionString: string): Promise<number> {
+	const startTime = timerService.now();
+	let count = 0;
+	await Promise.all(Array.from({length: throughputConnections}, async () => {
+		const client = new pg.Client({connectionString});
+		await client.connect();
+		for (let now = timerService.now(); now < startTime + throughputMilliseconds; now = timerService.now()) {
+			await client.query(statement);
+			count += timerService.now() - startTime > throughputWarmUpMilliseconds ? 1 : 0;
+		}
+
+		await client.end();
+	}));
+	return count;
+}
+
+/**
+ * Compares a host with a direct connection to an instance. The fleet has a single host and a single group of one instance,
+ * so that the host is the entry host and the owner.
+ *
+ * @param deployment - Deployment whose names are used.
+ * @param contracts - Contracts.
+ * @param seed - Selects the loopback addresses.
+ */
+export async function measureOverhead(deployment: Deployment, contracts: readonly Contract[], seed: number): Promise<Overhead> {
+	const samples = await mkdtemp(path.join(os.tmpdir(), 'tarragon-samples-'));
+	process.env[directoryVariable] = samples;
+	process.env.NODE_OPTIONS = `--import ${pathToFileURL(getCompiledPath('@tarragonstack/bench', 'experiment/event-loop-reporter.js')).href}`;
+	const small: Deployment = {
+		...deployment, hostCount: 1, groups: deployment.groups.slice(0, 1), availabilityZones: deployment.availabilityZones.slice(0, 1), slots, connectionLimit,
+	};
+	try {
+		const loadAverage = os.loadavg()[0]!;
+		await using fleet = await Fleet.start({
+			deployment: small, contracts: contracts.map(contract => ({...contract, groups: [...small.groups]})), seed: process.pid + seed, serviceMilliseconds: 0,
+		});
+		const [instance] = fleet.instances;
+		const hostString = fleet.getConnectionString(fleet.hosts[0]!.name);
+		// The comparison contains the relay on both sides, as the host reaches the instance through it.
+		const directString = `postgresql://tarragon:upstream-of-the-fleet@${instance!.relayAddress}/${small.groups[0]!}`;
+		await measureLatency(hostString);
+		const direct = await measureLatency(directString);
+		const host = await measureLatency(hostString);
+		const startAt = Date.now();
+		const count = await countStatements(hostString);
+		const pids = fleet.readyLines.filter(({role}) => role === 'host').map(({pid}) => pid);
+		const summary = await summarizeProcesses(samples, pids, startAt + throughputWarmUpMilliseconds, startAt + throughputMilliseconds);
+		const statementsPerSecond = count * 1000 / (throughputMilliseconds - throughputWarmUpMilliseconds);
+		return {
+			direct,
+			host,
+			addedP50Milliseconds: host.p50Milliseconds - direct.p50Milliseconds,
+			addedP99Milliseconds: host.p99Milliseconds - direct.p99Milliseconds,
+			statementsPerSecond,
+			hostCpuShare: summary.cpuShare,
+			statementsPerCoreSecond: statementsPerSecond / summary.cpuShare,
+			loadAverage,
+		};
+	} finally {
+		await rm(samples, {recursive: true, force: true});
+	}
+}
--- /dev/null
+++ b/packages/bench/src/experiment/report-table.ts
@@ -0,0 +1,54 @@
+import {Rank} from '@tarragonstack/core';
+import {type RankFigures} from './rank-account.js';
+import {type ExperimentReport} from './run-experiment.js';
+
+const columnWidths = [18, 9, 10, 8, 9, 9, 11, 9, 9];
+const header = ['rank', 'offered', 'on time', 'late', 'refused', 'unknown', 'refund', 'p50 ms', 'p99 ms'];
+
+function formatLine(cells: readonly string[]): string {
+	return cells.map((cell, index) => index === 0 ? cell.padEnd(columnWidths[index]!) : cell.padStart(columnWidths[index]!)).join('');
+}
+
+function formatRank(name: string, figures: RankFigures): string {
+	return formatLine([
+		name,
+		String(figures.offered),
+		`${(100 * figures.onTimeShare).toFixed(2)} %`,
+		...[figures.late, figures.refused, figures.unknown].map(String),
+		figures.refund.toFixed(2),
+		figures.p50Milliseconds.toFixed(1),
+		figures.p99Milliseconds.toFixed(1),
+	]);
+}
+
+/**
+ * Formats a report as a table for the terminal.
+ *
+ * @param report - Report of an experiment.
+ */
+export function formatReport(report: ExperimentReport): string {
+	const lines = [
+		`${report.experiment}, ${report.deployment}, ${report.policy}, seed ${report.seed}, load average ${report.loadAverage.toFixed(1)}`,
+		formatLine(header),
+		...Object.values(Rank).map(rank => formatRank(rank, report.ranks[rank])),
+	];
+	for (const [phase, figures] of Object.entries(report.phases)) {
+		lines.push(...Object.values(Rank).map(rank => formatRank(`${phase}, ${rank}`, figures[rank])));
+	}
+
+	lines.push(
+		`reads at replicas: ${(100 * report.replicaReadShare).toFixed(1)} %; gaps in writes: ${report.writeGapsMilliseconds.map(gap => gap.toFixed(0)).join(', ')} ms`,
+		`refunds: ${report.refundTotal.toFixed(2)}; lower bound: ${report.refundLowerBound.toFixed(2)}; reads that missed an own write: ${report.missedOwnWrites}`,
+		`errors: ${Object.entries(report.errorCodes).map(([code, count]) => `${code}: ${count}`).join(', ') || 'none'}`,
+	);
+	for (const [name, summary] of Object.entries(report.processes)) {
+		lines.push(`${name}: event-loop delay p99 ${summary.delayP99Milliseconds.toFixed(1)} ms (median of seconds), greatest ${summary.delayMaximumMilliseconds.toFixed(1)} ms; `
+			+ `CPU ${(100 * summary.cpuShare).toFixed(0)} % of a core, greatest ${(100 * summary.cpuShareMaximum).toFixed(0)} %`);
+	}
+
+	for (const {name, value, target, isMet} of report.checks) {
+		lines.push(`${isMet ? 'met   ' : 'missed'} ${name}: ${value.toFixed(4)} (target ${target})`);
+	}
+
+	return lines.join('\n');
+}
--- a/packages/bench/src/load/caller-pools.ts
+++ b/packages/bench/src/load/caller-pools.ts
@@ -66,6 +66,8 @@
 				max: this.#connectionsPerPool,
 				connectionTimeoutMillis: connectLimitMilliseconds,
 				query_timeout: queryLimitMilliseconds,
+				// Connections stay open, so that the cost of a login does not depend on the pauses of the load.
+				idleTimeoutMillis: 0,
 			});
 			// An idle connection that is lost is replaced with the next request.
 			pool.on('error', () => {});
--- a/packages/bench/src/load/load-generator.ts
+++ b/packages/bench/src/load/load-generator.ts
@@ -20,6 +20,8 @@
 	readonly timerService: TimerService;
 	/** Tells the loads of one fleet apart; the seed if not given. */
 	readonly prefix?: string;
+	/** Monotonic time at which the load begins; now if not given. Several generators with the same time start together. */
+	readonly startTime?: number;
 	/** Called after each request, for checks of a fuzzer. */
 	readonly onOutcome?: (request: LoadRequest, error?: unknown) => void;
 };
@@ -61,7 +63,7 @@
 	/** Runs the load and waits for all responses. */
 	async run(): Promise<LoadResult> {
 		const {loads, durationMilliseconds, seed, hosts, groups, timerService, prefix = `load-${seed}`} = this.#options;
-		const startTime = timerService.now();
+		const startTime = this.#options.startTime ?? timerService.now();
 		const endTime = startTime + durationMilliseconds;
 		const writeGaps = new WriteGapTracker(startTime);
 		const sources = loads.map((load, index) => new RequestSource({
--- a/packages/bench/src/load/rank-result.ts
+++ b/packages/bench/src/load/rank-result.ts
@@ -35,9 +35,9 @@
 	/** Refund for late responses, refusals, unknown outcomes and failures, in the currency unit of the contract. */
 	get refund(): number {
 		const {lateRefund, refusedRefund = lateRefund} = this.#terms;
-		const {answered: _, ...unanswered} = this.outcomes;
-		const unansweredCount = Object.values(unanswered).reduce((sum, count) => sum + count, 0);
-		return (this.late * lateRefund) + (unansweredCount * refusedRefund);
+		const {answered: _, refused, ...unknown} = this.outcomes;
+		const unknownCount = Object.values(unknown).reduce((sum, count) => sum + count, 0);
+		return ((this.late + unknownCount) * lateRefund) + (refused * refusedRefund);
 	}
 
 	/**
