Adapt the scheduler's tests to the catch-up time

Cause: two test files were written before UpstreamRequest had the field.

Change: the field is set in both. Checks are unchanged.

Conclusion: none.

--- a/packages/daemon/tests/process/instance-executors.test.ts
+++ b/packages/daemon/tests/process/instance-executors.test.ts
@@ -112,6 +112,7 @@
 		refusedRefund: 1,
 		customerWeight: 1,
 		floorShare: 0,
+		catchUpMilliseconds: 500,
 		acknowledgement: AcknowledgementMode.Fenced,
 		configurationVersion: 1,
 		...overrides,
--- a/packages/daemon/tests/process/instance-scheduler.property.test.ts
+++ b/packages/daemon/tests/process/instance-scheduler.property.test.ts
@@ -122,6 +122,7 @@
 			refusedRefund: unit.refusedRefund,
 			customerWeight: 1,
 			floorShare: unit.rank === Rank.Urgent ? 0.4 : 0.1,
+			catchUpMilliseconds: 500,
 			acknowledgement: AcknowledgementMode.Fenced,
 			configurationVersion: 1,
 		};
