Drain peer links at a graceful shutdown

Change: a Closing frame names the last call that is processed. The peer settles later calls as not run and sends no more, and the link ends after its last reply has been delivered, within 1 s.

--- a/packages/daemon/src/connection/peer/peer-frame.ts
+++ b/packages/daemon/src/connection/peer/peer-frame.ts
@@ -31,6 +31,8 @@
 	Ping = 8,
 	/** `[type]`. */
 	Pong = 9,
+	/** `[type, id]`: the sender is stopping and processes no call with a greater identifier. */
+	Closing = 10,
 }
 
 const identifier = z.number().int().positive();
@@ -47,6 +49,7 @@
 	[PeerFrameType.Notify]: z.tuple([z.literal(PeerFrameType.Notify), kind, z.unknown()]),
 	[PeerFrameType.Ping]: z.tuple([z.literal(PeerFrameType.Ping)]),
 	[PeerFrameType.Pong]: z.tuple([z.literal(PeerFrameType.Pong)]),
+	[PeerFrameType.Closing]: z.tuple([z.literal(PeerFrameType.Closing), z.number().int().nonnegative()]),
 } as const;
 
 /** A frame with the fields that its type requires. */
--- a/packages/daemon/src/connection/peer/peer-link.ts
+++ b/packages/daemon/src/connection/peer/peer-link.ts
@@ -71,6 +71,9 @@
 	#closeReason: LinkCloseReason | undefined;
 	#nextIdentifier = 1;
 	#lastIncomingIdentifier = 0;
+	#isDraining = false;
+	#isPeerDraining = false;
+	#onIdle: (() => void) | undefined;
 	readonly #outgoing = new Map<number, OutgoingCall>();
 	readonly #incoming = new Map<number, IncomingCall>();
 
@@ -95,6 +98,11 @@
 		return this.#closeReason === undefined;
 	}
 
+	/** True while calls can be sent: the link is open, and neither side is stopping. */
+	get acceptsCalls(): boolean {
+		return this.isOpen && !this.#isDraining && !this.#isPeerDraining;
+	}
+
 	/** Number of calls that wait for the peer, or that the peer waits for. */
 	get outstandingCalls(): number {
 		return this.#outgoing.size + this.#incoming.size;
@@ -140,8 +148,8 @@
 	 * @param options - Time limit, signal and receiver of chunks.
 	 */
 	async call(kind: PeerMessageKind, body: unknown, options: PeerCallOptions): Promise<Result<unknown, PeerError>> {
-		if (!this.isOpen || options.signal?.aborted) {
-			return err({verdict: Verdict.NotRun, message: this.isOpen ? 'the call was ended before it began' : `the link to ${this.peer} is closed`});
+		if (!this.acceptsCalls || options.signal?.aborted) {
+			return err({verdict: Verdict.NotRun, message: this.acceptsCalls ? 'the call was ended before it began' : `the link to ${this.peer} is closed`});
 		}
 
 		if (this.#socket.writableLength > maximumQueuedBytes) {
@@ -174,6 +182,7 @@
 					timer[Symbol.dispose]();
 					options.signal?.removeEventListener('abort', onAbort);
 					resolve(result);
+					this.#checkIdle();
 				}
 			};
 
@@ -203,6 +212,37 @@
 		this.#send([PeerFrameType.Ping]);
 	}
 
+	/**
+	 * Tells the peer that no further call is processed, waits until the present calls are answered, and ends the connection
+	 * after the last byte. A call that crosses the announcement is settled as not run by the peer.
+	 *
+	 * @param timeoutMilliseconds - Time after which the link is closed in any case.
+	 */
+	async drain(timeoutMilliseconds: number): Promise<void> {
+		if (!this.isOpen || this.#isDraining) {
+			return;
+		}
+
+		this.#isDraining = true;
+		this.#send([PeerFrameType.Closing, this.#lastIncomingIdentifier]);
+		const limit = this.#timerService.schedule(timeoutMilliseconds, () => {
+			this.close(LinkCloseReason.Local);
+		});
+		await new Promise<void>(resolve => {
+			this.#onIdle = resolve;
+			this.#checkIdle();
+		});
+		await new Promise<void>(resolve => {
+			// The peer closes its side when it has read everything.
+			this.#socket.once('close', resolve);
+			this.#socket.end();
+			if (this.#socket.destroyed) {
+				resolve();
+			}
+		});
+		limit[Symbol.dispose]();
+	}
+
 	/**
 	 * Closes the link. Calls without a reply end with an unknown outcome.
 	 *
@@ -225,6 +265,22 @@
 		}
 
 		this.#incoming.clear();
+		this.#checkIdle();
+	}
+
+	#checkIdle(): void {
+		if (this.outstandingCalls === 0) {
+			this.#onIdle?.();
+		}
+	}
+
+	#takeClosing(lastIdentifier: number): void {
+		this.#isPeerDraining = true;
+		for (const [identifier, call] of this.#outgoing) {
+			if (identifier > lastIdentifier) {
+				call.settle(err({verdict: Verdict.NotRun, message: `${this.peer} is stopping`}));
+			}
+		}
 	}
 
 	#send(frame: PeerFrame): void {
@@ -312,6 +368,11 @@
 			case PeerFrameType.Pong: {
 				break;
 			}
+
+			case PeerFrameType.Closing: {
+				this.#takeClosing(frame[1]);
+				break;
+			}
 		}
 	}
 
@@ -374,6 +435,10 @@
 	}
 
 	#startHandler(identifier: number, kind: PeerMessageKind, body: unknown, creditBytes: number): void {
+		if (this.#isDraining) {
+			return;
+		}
+
 		if (identifier <= this.#lastIncomingIdentifier) {
 			this.#reportViolation('a call identifier was used twice');
 			return;
@@ -419,6 +484,7 @@
 			this.#send([PeerFrameType.Failure, identifier, Verdict.MayHaveRun, error instanceof Error ? error.message : String(error)]);
 		} finally {
 			this.#incoming.delete(identifier);
+			this.#checkIdle();
 		}
 	}
 
--- a/packages/daemon/src/connection/peer/tcp-peer-network.ts
+++ b/packages/daemon/src/connection/peer/tcp-peer-network.ts
@@ -166,6 +166,17 @@
 		};
 	}
 
+	/**
+	 * Opens and accepts no further links, and ends the present ones when their calls are answered.
+	 *
+	 * @param timeoutMilliseconds - Time after which links are closed in any case.
+	 */
+	async drain(timeoutMilliseconds: number): Promise<void> {
+		this.#stopped = true;
+		const links = [...this.#peers.values()].flatMap(record => record.links);
+		await Promise.all(links.map(async link => link.drain(timeoutMilliseconds)));
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#stopped = true;
 		for (const subscription of this.#subscriptions) {
@@ -199,7 +210,7 @@
 	}
 
 	#getOpenLink(host: string): PeerLink | undefined {
-		return this.#peers.get(host)?.links.findLast(link => link.isOpen);
+		return this.#peers.get(host)?.links.findLast(link => link.acceptsCalls);
 	}
 
 	async #waitForLink(host: string, options: PeerCallOptions): Promise<PeerLink | string> {
@@ -319,6 +330,11 @@
 
 	async #accept(socket: Socket): Promise<void> {
 		this.#prepareSocket(socket);
+		if (this.#stopped) {
+			socket.destroy();
+			return;
+		}
+
 		const timer = this.#options.timerService.schedule(connectTimeoutMilliseconds, () => {
 			socket.destroy();
 		});
--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -27,6 +27,9 @@
 /** Time limit of a question for the status of an instance, in milliseconds. */
 const statusTimeoutMilliseconds = 100;
 
+/** Time that the links get to deliver their last replies at a graceful shutdown, in milliseconds. */
+const linkDrainMilliseconds = 1000;
+
 /** Database name of control connections and pooled connections. Instances serve one database. */
 const upstreamDatabase = 'tarragon';
 
@@ -212,6 +215,7 @@
 		this.#listener.stopAccepting();
 		await this.#listener.drain(this.#settings.shutdownGraceMilliseconds);
 		await this.#executors.drain();
+		await this.#network.drain(linkDrainMilliseconds);
 		await this[Symbol.asyncDispose]();
 		this.#logger.info('shutdown complete');
 	}
--- a/packages/daemon/tests/connection/peer/tcp-peer-network.test.ts
+++ b/packages/daemon/tests/connection/peer/tcp-peer-network.test.ts
@@ -289,6 +289,31 @@
 		await aborted.promise;
 	});
 
+	it('answers what runs and takes nothing more while it drains, so that a planned stop cuts no call', async () => {
+		await using fleet = new PeerFleet();
+		const left = await fleet.start('left');
+		const right = await fleet.start('right');
+		const gate = createGate();
+		const taken: unknown[] = [];
+		right.network.handle(kind, async body => {
+			taken.push(body);
+			await gate.promise;
+			return body;
+		});
+		const running = left.network.call('right', kind, 'running', {timeoutMilliseconds});
+		await vi.waitFor(() => {
+			expect(taken).toHaveLength(1);
+		});
+		const drained = right.network.drain(timeoutMilliseconds);
+		const crossing = left.network.call('right', kind, 'crossing', {timeoutMilliseconds});
+		expect(await takeVerdict(crossing)).toBe(Verdict.NotRun);
+		gate.resolve();
+		expect(await takeValue(running)).toBe('running');
+		await drained;
+		expect(await takeVerdict(left.network.call('right', kind, 'later', {timeoutMilliseconds}))).toBe(Verdict.NotRun);
+		expect(taken).toEqual(['running']);
+	});
+
 	it('closes a link that is silent while a call is outstanding, so that a partition is noticed', async () => {
 		await using fleet = new PeerFleet();
 		const left = await fleet.start('left');
