--- a/packages/bench/src/fuzz/caller-operations.ts
+++ b/packages/bench/src/fuzz/caller-operations.ts
@@ -32,13 +32,14 @@
 	 *
 	 * @param caller - Caller.
 	 */
-	async insert(caller: SessionCaller): Promise<void> {
+	async insert(caller: SessionCaller): Promise<WriteRecord> {
 		const owner = getOwner(caller);
 		const record = this.history.begin(WriteKind.Insert, owner, caller.group);
 		await this.#attempt(record, async () => {
 			const {rows} = await caller.query('INSERT INTO items (id, owner) VALUES ($1, $2) RETURNING id', [record.token, owner]);
 			this.#expectRows(record.token, rows.map(({id}) => id), [record.token]);
 		});
+		return record;
 	}
 
 	/**
--- /dev/null
+++ b/packages/bench/src/fuzz/fuzz-run.ts
@@ -0,0 +1,323 @@
+import {SystemTimerService} from '@tarragonstack/core';
+import {type Fleet} from '../fleet/index.js';
+import {type CallerOperations, counterCount} from './caller-operations.js';
+import {Effect} from './effect.js';
+import {FaultKind, injectFault, type Heal} from './fault.js';
+import {FleetObserver} from './fleet-observer.js';
+import {CommandKind, generateCommands, type FuzzCommand} from './fuzz-command.js';
+import {WriteKind} from './history.js';
+import {Invariant, type Violation} from './invariant.js';
+import {checkGroup, createCounters} from './scenario.js';
+import {type SessionCaller} from './session-caller.js';
+import {SessionCallers} from './session-callers.js';
+import {VersionMonitor} from './version-monitor.js';
+import {Workload} from './workload.js';
+
+/** Sessions that move between all hosts. */
+const sessionCount = 5;
+
+/** Faults that are active at the same time. */
+const greatestFaults = 2;
+
+/** Commands during which a fault lasts at most. */
+const greatestFaultSteps = 6;
+
+/** Greatest time that a step waits for its requests; those that take longer go on while the next steps run. */
+const stepLimitMilliseconds = 350;
+
+/** Time in which the last accepted version must be in force on all hosts after the faults. */
+const configurationLimitMilliseconds = 9000;
+
+/** Requests that run together with the one of a command. */
+const companions: readonly CommandKind[] = [
+	CommandKind.Insert,
+	CommandKind.ReadOwn,
+	CommandKind.AppendWithKey,
+	CommandKind.ReadOwn,
+	CommandKind.ReadPair,
+	CommandKind.Transaction,
+	CommandKind.Append,
+	CommandKind.ReadConstant,
+];
+
+/** Pause after the faults have ended. */
+const quietMilliseconds = 500;
+
+const timerService = new SystemTimerService();
+
+/** Kinds that end by themselves or that leave nothing to end. */
+const instantKinds: ReadonlySet<FaultKind> = new Set([FaultKind.ResetConnections]);
+
+/** What a run covered. */
+export type FuzzCoverage = {
+	readonly commands: Readonly<Record<string, number>>;
+	readonly faults: Readonly<Record<string, number>>;
+	readonly promotions: number;
+	readonly acknowledged: number;
+	readonly unknownOutcomes: number;
+	readonly refused: number;
+	readonly resends: number;
+	readonly duplicatesSuppressed: number;
+	readonly answeredReads: number;
+	readonly refusedReads: number;
+	readonly readsByReplicas: number;
+	readonly acceptedVersions: number;
+	readonly lostConflicts: number;
+};
+
+/** Result of a run. */
+export type FuzzResult = {
+	readonly seed: number;
+	readonly steps: number;
+	readonly milliseconds: number;
+	readonly coverage: FuzzCoverage;
+	readonly violations: readonly Violation[];
+};
+
+type ActiveFault = {
+	readonly kind: FaultKind;
+	readonly heal: Heal;
+	readonly since: number;
+};
+
+/** One run of random commands against a fleet. */
+export class FuzzRun implements AsyncDisposable {
+	readonly #fleet: Fleet;
+	readonly #observer: FleetObserver;
+	readonly #group: string;
+	readonly #seed: number;
+	readonly #commands: readonly FuzzCommand[];
+	readonly #workload: Workload;
+	readonly #operations: CallerOperations;
+	readonly #monitor: VersionMonitor;
+	readonly #callers: SessionCallers;
+	readonly #running = new Set<Promise<unknown>>();
+	readonly #commandCounts: Record<string, number> = {};
+	readonly #faultCounts: Record<string, number> = {};
+	readonly #violations: Violation[] = [];
+	readonly #replicaReads = new Map<string, number>();
+	#faults: ActiveFault[] = [];
+	#acceptedVersion = 0;
+	#acceptedVersions = 0;
+	#lostConflicts = 0;
+
+	/**
+	 * @param fleet - Fleet.
+	 * @param seed - Seed of the commands.
+	 * @param steps - Number of commands.
+	 */
+	constructor(fleet: Fleet, seed: number, steps: number) {
+		this.#fleet = fleet;
+		this.#observer = new FleetObserver(fleet);
+		this.#group = fleet.deployment.groups[0]!;
+		this.#seed = seed;
+		this.#commands = generateCommands(seed, steps);
+		this.#workload = new Workload({
+			fleet, group: this.#group, prefix: `z${seed}`, seed,
+		});
+		this.#operations = this.#workload.operations;
+		this.#callers = new SessionCallers(fleet, this.#group);
+		this.#monitor = new VersionMonitor(this.#observer);
+	}
+
+	/** Runs the commands, ends the faults and checks the invariants. */
+	async run(): Promise<FuzzResult> {
+		const startedAt = timerService.now();
+		await createCounters(this.#fleet, this.#group);
+		const termBefore = await this.#getTerm();
+		for (const [step, command] of this.#commands.entries()) {
+			this.#commandCounts[command.kind] = (this.#commandCounts[command.kind] ?? 0) + 1;
+			await this.#endOldFaults(step);
+			await this.#execute(command, step);
+			await this.#countReplicaReads();
+		}
+
+		await this.#endFaults(this.#faults);
+		await timerService.sleep(quietMilliseconds);
+		await Promise.all(this.#running);
+		this.#violations.push(...await checkGroup(this.#observer, this.#group, this.#workload));
+		await this.#checkConfiguration();
+		await this.#countReplicaReads();
+		const coverage = await this.#getCoverage(termBefore);
+		return {
+			seed: this.#seed,
+			steps: this.#commands.length,
+			milliseconds: timerService.now() - startedAt,
+			coverage,
+			violations: [...this.#violations, ...this.#monitor.violations, ...checkCoverage(coverage)],
+		};
+	}
+
+	/** Ends the observation and closes the connections. */
+	async [Symbol.asyncDispose](): Promise<void> {
+		await this.#monitor[Symbol.asyncDispose]();
+		await this.#workload[Symbol.asyncDispose]();
+		this.#callers[Symbol.dispose]();
+	}
+
+	async #execute(command: FuzzCommand, step: number): Promise<void> {
+		const identifier = `${this.#seed}-${step}`;
+		const handlers: Readonly<Partial<Record<CommandKind, () => Promise<unknown>>>> = {
+			[CommandKind.BeginFault]: () => this.#beginFault(command, step),
+			[CommandKind.EndFault]: () => this.#endFaults(this.#faults.slice(0, 1)),
+			[CommandKind.ChangeConfiguration]: async () => {
+				this.#start(this.#changeConfiguration(identifier));
+			},
+			[CommandKind.ChangeTwice]: async () => {
+				this.#start(this.#changeConfiguration(`${identifier}-a`), this.#changeConfiguration(`${identifier}-b`));
+			},
+			[CommandKind.Promote]: async () => {
+				const instances = this.#observer.getInstances(this.#group);
+				this.#start(this.#observer.promote(this.#getHost(command.host), this.#group, instances[command.choice % instances.length]!.name));
+			},
+		};
+		const handler = handlers[command.kind];
+		if (handler) {
+			await handler();
+		} else {
+			this.#sendRequests(command);
+		}
+
+		const limit = new AbortController();
+		await Promise.race([Promise.all(this.#running), timerService.sleep(stepLimitMilliseconds, limit.signal)]);
+		limit.abort();
+	}
+
+	/** Sends the request of the command together with others, from different sessions. */
+	#sendRequests(command: FuzzCommand): void {
+		for (let index = 0; index < command.burst; index++) {
+			this.#start(this.#request(index === 0 ? command.kind : companions[index % companions.length]!, command, index));
+		}
+	}
+
+	async #request(kind: CommandKind, command: FuzzCommand, index: number): Promise<void> {
+		const session = `${this.#workload.history.prefix}-s${(command.session + index) % sessionCount}`;
+		const choice = command.choice + index;
+		const hosts = [this.#getHost(command.host + index), this.#getHost(command.otherHost)];
+		await this.#callers.use(kind === CommandKind.AppendWithKey ? hosts : hosts.slice(0, 1), session, async callers => this.#send(kind, callers, choice));
+	}
+
+	async #send(kind: CommandKind, callers: readonly SessionCaller[], choice: number): Promise<unknown> {
+		const operations = this.#operations;
+		const caller = callers[0]!;
+		const requests: Readonly<Partial<Record<CommandKind, () => Promise<unknown>>>> = {
+			[CommandKind.Insert]: () => operations.insert(caller),
+			[CommandKind.ReadOwn]: () => operations.readOwn(caller, choice % 2 === 0),
+			[CommandKind.Append]: () => operations.append(caller, choice % counterCount),
+			[CommandKind.AppendWithKey]: () => operations.appendWithKey(callers, choice % counterCount),
+			[CommandKind.Transaction]: () => operations.pair(caller),
+			[CommandKind.Rollback]: () => operations.pair(caller, 'ROLLBACK'),
+			[CommandKind.LeaveTransaction]: () => operations.pair(caller, 'close'),
+			[CommandKind.ReadPair]: () => operations.readPair(caller, this.#pickPair(choice)),
+			[CommandKind.ReadConstant]: () => operations.readConstant(caller, choice % 2 === 0),
+		};
+		return requests[kind]!();
+	}
+
+	#start(...work: ReadonlyArray<Promise<unknown>>): void {
+		for (const promise of work) {
+			const tracked = promise.finally(() => {
+				this.#running.delete(tracked);
+			});
+			this.#running.add(tracked);
+		}
+	}
+
+	async #beginFault({fault: kind, choice}: FuzzCommand, step: number): Promise<void> {
+		if (this.#faults.length >= greatestFaults) {
+			return;
+		}
+
+		try {
+			const heal = await injectFault(kind, {observer: this.#observer, group: this.#group, choice});
+			this.#faultCounts[kind] = (this.#faultCounts[kind] ?? 0) + 1;
+			if (!instantKinds.has(kind)) {
+				this.#faults.push({kind, heal, since: step});
+			}
+		} catch {
+			// The target is stopped already, or the group has no primary now.
+			this.#faultCounts[`${kind} without target`] = (this.#faultCounts[`${kind} without target`] ?? 0) + 1;
+		}
+	}
+
+	async #endOldFaults(step: number): Promise<void> {
+		await this.#endFaults(this.#faults.filter(({since}) => step - since >= greatestFaultSteps));
+	}
+
+	async #endFaults(ended: readonly ActiveFault[]): Promise<void> {
+		for (const fault of ended) {
+			this.#faults = this.#faults.filter(other => other !== fault);
+			await fault.heal();
+		}
+	}
+
+	async #changeConfiguration(changeIdentifier: string): Promise<void> {
+		const version = await this.#observer.changeConfiguration(changeIdentifier, () => ({author: `operator-${changeIdentifier}`}));
+		if (version === undefined) {
+			this.#lostConflicts++;
+			return;
+		}
+
+		this.#acceptedVersions++;
+		this.#acceptedVersion = Math.max(this.#acceptedVersion, version);
+	}
+
+	async #checkConfiguration(): Promise<void> {
+		const inForce = await this.#observer.waitFor(
+			async () => this.#fleet.hosts.every(({name}) => (this.#monitor.getVersion(name) ?? 0) >= this.#acceptedVersion),
+			configurationLimitMilliseconds,
+		);
+		if (!inForce) {
+			const versions = this.#fleet.hosts.map(({name}) => `${name}: ${this.#monitor.getVersion(name)}`).join(', ');
+			this.#violations.push({invariant: Invariant.ConfigurationNeverReverts, message: `version ${this.#acceptedVersion} is not in force: ${versions}`});
+		}
+	}
+
+	/** The counters of an instance start again with its process, so only increases count. */
+	async #countReplicaReads(): Promise<void> {
+		for (const {name, statements} of await this.#observer.getGroupStates(this.#group)) {
+			this.#replicaReads.set(name, Math.max(this.#replicaReads.get(name) ?? 0, statements.replicaReads));
+		}
+	}
+
+	async #getTerm(): Promise<number> {
+		const states = await this.#observer.getGroupStates(this.#group);
+		return Math.max(...states.map(({term}) => term));
+	}
+
+	async #getCoverage(termBefore: number): Promise<FuzzCoverage> {
+		const {history, operations} = this.#workload;
+		return {
+			commands: this.#commandCounts,
+			faults: this.#faultCounts,
+			promotions: await this.#getTerm() - termBefore,
+			acknowledged: history.count(Effect.Acknowledged),
+			unknownOutcomes: history.count(Effect.Unknown),
+			refused: history.count(Effect.None),
+			...operations.counts,
+			readsByReplicas: [...this.#replicaReads.values()].reduce((sum, count) => sum + count, 0),
+			acceptedVersions: this.#acceptedVersions,
+			lostConflicts: this.#lostConflicts,
+		};
+	}
+
+	#getHost(number: number): string {
+		const {hosts} = this.#fleet;
+		return hosts[number % hosts.length]!.name;
+	}
+
+	#pickPair(choice: number): string {
+		const pairs = this.#workload.history.records.filter(({kind}) => kind === WriteKind.Pair).slice(-10);
+		return pairs.length === 0 ? 'none' : pairs[choice % pairs.length]!.token;
+	}
+}
+
+/** A run that did nothing proves nothing. */
+function checkCoverage(coverage: FuzzCoverage): Violation[] {
+	const empty = Object.entries({
+		'acknowledged writes': coverage.acknowledged,
+		'answered reads': coverage.answeredReads,
+		faults: Object.values(coverage.faults).reduce((sum, count) => sum + count, 0),
+	}).filter(([, count]) => count === 0);
+	return empty.map(([name]) => ({invariant: Invariant.Recovery, message: `the run is empty: it had no ${name}`}));
+}
--- a/packages/bench/src/fuzz/index.ts
+++ b/packages/bench/src/fuzz/index.ts
@@ -8,3 +8,7 @@
 export * from './workload.js';
 export * from './scenario.js';
 export * from './version-monitor.js';
+export {getErrorCode} from '../load/index.js';
+export * from './fuzz-command.js';
+export * from './fuzz-run.js';
+export * from './session-callers.js';
--- /dev/null
+++ b/packages/bench/src/fuzz/loss.ts
@@ -0,0 +1,76 @@
+import {SystemTimerService} from '@tarragonstack/core';
+import {injectFault, FaultKind} from './fault.js';
+import {type FleetObserver} from './fleet-observer.js';
+import {SessionCaller} from './session-caller.js';
+
+/** Replication lag during the measurement. */
+const lagMilliseconds = 50;
+
+/** Load before the primary is killed. */
+const leadMilliseconds = 500;
+const settleLimitMilliseconds = 20_000;
+
+/** Ranks of the example contracts with each mode of acknowledgement. */
+const ranksByMode = {fenced: 'least', replicated: 'urgent'} as const;
+
+const timerService = new SystemTimerService();
+
+/**
+ * Kills the primary under load and counts the acknowledged writes that the new primary does not have.
+ *
+ * @param observer - Observer of the fleet.
+ * @param group - Group.
+ * @param runs - Number of promotions for each mode of acknowledgement.
+ */
+export async function measureLoss(observer: FleetObserver, group: string, runs: number): Promise<Record<string, unknown>> {
+	const {fleet} = observer;
+	const result: Record<string, {runs: number; acknowledged: number; lost: number}> = {};
+	for (const [mode, rank] of Object.entries(ranksByMode)) {
+		const counts = {runs, acknowledged: 0, lost: 0};
+		for (let round = 0; round < runs; round++) {
+			await Promise.all(observer.getInstances(group).map(async ({name}) => fleet.controlInstance(name, {lagMilliseconds})));
+			const acknowledged = await writeUntilKilled(observer, group, `${mode}-${round}`, rank);
+			const {primary, problem} = await observer.waitUntilReplicated(group, settleLimitMilliseconds);
+			if (!primary) {
+				throw new Error(problem);
+			}
+
+			const {tables} = await observer.dump(primary.name);
+			const present = new Set((tables.losses ?? []).map(({id}) => id));
+			counts.acknowledged += acknowledged.length;
+			counts.lost += acknowledged.filter(token => !present.has(token)).length;
+		}
+
+		result[mode] = counts;
+	}
+
+	return {lagMilliseconds, ...result};
+}
+
+async function writeUntilKilled(observer: FleetObserver, group: string, prefix: string, rank: string): Promise<string[]> {
+	const acknowledged: string[] = [];
+	const stop = new AbortController();
+	const tasks = observer.fleet.hosts.map(async ({name}) => {
+		const caller = new SessionCaller(observer.fleet, name, group);
+		for (let index = 0; !stop.signal.aborted; index++) {
+			const token = `${prefix}-${name}-${index}`;
+			try {
+				await caller.query(`INSERT INTO losses (id) VALUES ('${token}') /*rank='${rank}'*/`);
+				acknowledged.push(token);
+			} catch {
+				// Only acknowledged writes count.
+			}
+
+			await timerService.sleep(1);
+		}
+
+		caller.close();
+	});
+	await timerService.sleep(leadMilliseconds);
+	const heal = await injectFault(FaultKind.KillPrimary, {observer, group, choice: 0});
+	await timerService.sleep(leadMilliseconds);
+	stop.abort();
+	await Promise.all(tasks);
+	await heal();
+	return acknowledged;
+}
--- a/packages/bench/src/fuzz/scenario.ts
+++ b/packages/bench/src/fuzz/scenario.ts
@@ -73,8 +73,7 @@
 		const end = timerService.now() + serviceLimitMilliseconds;
 		let last = '';
 		while (timerService.now() < end) {
-			await workload.operations.insert(caller);
-			const record = workload.history.records.findLast(({owner}) => owner === `connection-${name}`)!;
+			const record = await workload.operations.insert(caller);
 			if (record.effect === Effect.Acknowledged) {
 				caller.close();
 				return [];
--- a/packages/bench/src/fuzz/workload.ts
+++ b/packages/bench/src/fuzz/workload.ts
@@ -78,7 +78,7 @@
 	async #sendOne(worker: number, caller: SessionCaller): Promise<void> {
 		const {operations} = this;
 		const counter = this.#random.integer(counterCount);
-		const choices: ReadonlyArray<readonly [weight: number, run: () => Promise<void>]> = [
+		const choices: ReadonlyArray<readonly [weight: number, run: () => Promise<unknown>]> = [
 			[20, () => operations.insert(caller)],
 			[25, () => operations.readOwn(caller, this.#random.integer(2) === 0)],
 			[10, () => operations.append(caller, counter)],
--- a/packages/bench/tests/faults/configuration.test.ts
+++ b/packages/bench/tests/faults/configuration.test.ts
@@ -48,7 +48,8 @@
 			guards: 'a host that keeps the old version',
 			async run(monitor) {
 				const version = (await change('plain'))!;
-				console.log(`in force everywhere after ${(await measureSpread(monitor, version)).toFixed(0)} ms`);
+				const milliseconds = await measureSpread(monitor, version);
+				console.log(`in force everywhere after ${milliseconds.toFixed(0)} ms`);
 			},
 		},
 		{
@@ -71,7 +72,8 @@
 				const version = await change('lost-reply');
 				expect(version).toBeDefined();
 				await measureSpread(monitor, version!);
-				expect((await observer.getHostStatus('host-1'))?.configuration).toMatchObject({version, changeIdentifier: 'lost-reply'});
+				const status = await observer.getHostStatus('host-1');
+				expect(status?.configuration).toMatchObject({version, changeIdentifier: 'lost-reply'});
 			},
 		},
 		{
--- a/packages/bench/tests/faults/fault-fleet.ts
+++ b/packages/bench/tests/faults/fault-fleet.ts
@@ -1,4 +1,5 @@
 import {fileURLToPath} from 'node:url';
+import {type Contract} from '@tarragonstack/core';
 import {DeploymentName, deployments, Fleet, loadContracts} from '../../src/fleet/index.js';
 import {createCounters} from '../../src/fuzz/index.js';
 
@@ -6,14 +7,19 @@
  * Starts a fleet whose first group has the rows that the workload changes.
  *
  * @param name - Deployment.
- * @param lagMilliseconds - Replication lag.
+ * @param timeoutMilliseconds - Time limit of the ranks `middle` and `least` instead of the one of the contract.
  */
-export async function startFaultFleet(name = DeploymentName.Ronquido, lagMilliseconds = 0): Promise<Fleet> {
+export async function startFaultFleet(name = DeploymentName.Ronquido, timeoutMilliseconds?: number): Promise<Fleet> {
+	const contracts = await loadContracts(fileURLToPath(new URL(`../../../../examples/${name}`, import.meta.url)));
 	const fleet = await Fleet.start({
 		deployment: deployments[name],
-		contracts: await loadContracts(fileURLToPath(new URL(`../../../../examples/${name}`, import.meta.url))),
-		lagMilliseconds,
+		contracts: timeoutMilliseconds === undefined ? contracts : contracts.map(contract => limitTime(contract, timeoutMilliseconds)),
 	});
 	await createCounters(fleet, fleet.deployment.groups[0]!);
 	return fleet;
 }
+
+function limitTime(contract: Contract, timeoutMilliseconds: number): Contract {
+	const {urgent, middle, least} = contract.ranks;
+	return {...contract, ranks: {urgent, middle: {...middle, timeoutMilliseconds}, least: {...least, timeoutMilliseconds}}};
+}
--- a/packages/bench/tests/faults/planned-stops.test.ts
+++ b/packages/bench/tests/faults/planned-stops.test.ts
@@ -1,4 +1,4 @@
-import {SystemTimerService} from '@tarragonstack/core';
+import {SystemTimerService, type InstanceDefinition} from '@tarragonstack/core';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {DeploymentName, type Fleet} from '../../src/fleet/index.js';
 import {checkGroup, Effect, FleetObserver, SessionCaller, Workload} from '../../src/fuzz/index.js';
@@ -91,6 +91,13 @@
 		expect(workload.history.count(Effect.Acknowledged)).toBeGreaterThan(100);
 	});
 
+	async function configureLeaving(name: string, leaving: boolean): Promise<number | undefined> {
+		const mark = (instance: InstanceDefinition) => instance.name === name ? {...instance, leaving} : instance;
+		return observer.changeConfiguration(`leaving-${leaving}`, ({groups}) => ({
+			groups: groups.map(entry => ({...entry, instances: entry.instances.map(instance => mark(instance))})),
+		}));
+	}
+
 	it.each([
 		{role: 'primary', source: 'list'},
 		{role: 'replica', source: 'list'},
@@ -116,12 +123,7 @@
 				return;
 			}
 
-			const version = await observer.changeConfiguration(`leaving-${value}`, ({groups}) => ({
-				groups: groups.map(entry => ({
-					...entry, instances: entry.instances.map(instance => instance.name === leaving.name ? {...instance, leaving: value} : instance),
-				})),
-			}));
-			expect(version).toBeDefined();
+			expect(await configureLeaving(leaving.name, value)).toBeDefined();
 		};
 
 		await setLeaving(true);
