Refuse statements that do not fit a frame between hosts

Cause: a caller's unit may reach 8 MiB, a frame between hosts holds 1 MiB. A longer request would have closed the link and with it other requests.

--- a/packages/bench/src/experiment/run-experiment.ts
+++ b/packages/bench/src/experiment/run-experiment.ts
@@ -3,7 +3,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {pathToFileURL} from 'node:url';
-import {Rank, SystemTimerService, type Contract} from '@tarragonstack/core';
+import {type Rank, SystemTimerService, type Contract} from '@tarragonstack/core';
 import {getCompiledPath} from '../fleet/compiled-path.js';
 import {Fleet, type Deployment, type ReadCounts} from '../fleet/index.js';
 import {RequestOutcome, WriteGapTracker, type RankLoad} from '../load/index.js';
--- a/packages/core/src/request/refusal-reason.ts
+++ b/packages/core/src/request/refusal-reason.ts
@@ -15,6 +15,8 @@
 	DuplicateKey = 'duplicate-key',
 	OutcomeUnknown = 'outcome-unknown',
 	FeatureNotSupported = 'feature-not-supported',
+	/** The statement with its parameters is longer than a host can forward. */
+	TooLong = 'too-long',
 	WrongPassword = 'wrong-password',
 	TooManyConnections = 'too-many-connections',
 }
@@ -37,6 +39,7 @@
 	[RefusalReason.DuplicateKey]: 'TS008',
 	[RefusalReason.OutcomeUnknown]: '08007',
 	[RefusalReason.FeatureNotSupported]: '0A000',
+	[RefusalReason.TooLong]: '54000',
 	[RefusalReason.WrongPassword]: '28P01',
 	[RefusalReason.TooManyConnections]: '53300',
 };
--- a/packages/daemon/src/connection/gateway/peer-upstream-gateway.ts
+++ b/packages/daemon/src/connection/gateway/peer-upstream-gateway.ts
@@ -3,6 +3,7 @@
 	type Metrics, type ResponseSink, type UpstreamRequest, type UpstreamResult,
 } from '@tarragonstack/core';
 import {type InstanceExecutor, type UpstreamGateway} from '../../request/instance-executor.js';
+import {createNotRunResult} from '../../request/routing/refusals.js';
 import {PeerMessageKind, type PeerError, type PeerNetwork} from '../peer-network.js';
 import {ChunkAssembler, splitIntoChunks} from './chunk-assembler.js';
 import {identifierSchema, upstreamRequestSchema, upstreamResultSchema} from './upstream-messages.js';
@@ -10,6 +11,12 @@
 /** Time beyond the request's own time limit for which the reply of the owner is awaited, in milliseconds. */
 const replyMarginMilliseconds = 100;
 
+/**
+ * Greatest length of a request's messages, in bytes. A request travels in one frame between hosts, which holds 1 MiB. The
+ * same limit applies on the owner itself, so that a statement does not fail only at some hosts.
+ */
+const maximumRequestBytes = 1_000_000;
+
 /** What the gateway depends on. */
 export type PeerUpstreamGatewayOptions = {
 	/** Name of this host. */
@@ -55,6 +62,10 @@
 	/** @inheritdoc */
 	async submit(ownerHost: string, request: UpstreamRequest, sink: ResponseSink, signal: AbortSignal): Promise<UpstreamResult> {
 		const {localExecutor, ownName} = this.#options;
+		if (request.messages.length > maximumRequestBytes) {
+			return createNotRunResult(RefusalReason.TooLong, `the statement with its parameters is longer than ${maximumRequestBytes} bytes`);
+		}
+
 		return ownerHost === ownName
 			? localExecutor.submit(request, sink, signal)
 			: this.#submitToPeer(ownerHost, request, sink, signal);
