Dispatch one statement beyond the slots

Cause: a slot stays empty for a round trip after each statement. Change: one extra statement by default; InstanceExecutors takes the number as an option. Conclusion: one by default; two would gain little at the usual distance inside a zone.

--- a/packages/daemon/src/process/instance-scheduler.ts
+++ b/packages/daemon/src/process/instance-scheduler.ts
@@ -24,12 +24,19 @@
 /** Greatest time that a transaction waits until another one ends, in milliseconds. */
 const permitTimeoutMilliseconds = 2000;
 
+/**
+ * Statements dispatched beyond the slots. In a simulated overload with 3 slots, 5 ms per statement and 1 ms one way, none
+ * served 428, one 571 and two 599 of 600 statements/s. Each one adds up to a service time to the wait of urgent work.
+ */
+const defaultExtraStatements = 1;
+
 const defaultMaximumQueueEntries = 2000;
 const defaultMaximumQueueBytes = 33_554_432;
 
 /** Runs all requests for one instance: one queue, its slots, its connections and its open transactions. */
 export class InstanceScheduler implements AsyncDisposable {
 	readonly #options: InstanceSchedulerOptions;
+	readonly #extraStatements: number;
 	readonly #queue: SlotQueue;
 	readonly #guard: StatementGuard;
 	readonly #runner: UnitRunner;
@@ -47,10 +54,11 @@
 	constructor(options: InstanceSchedulerOptions) {
 		const {timerService, pool, slots} = options;
 		this.#options = options;
+		this.#extraStatements = options.extraStatements ?? defaultExtraStatements;
 		this.#queue = new SlotQueue({
 			timerService,
 			policy: options.policy,
-			slots: slots + (options.extraStatements ?? 0),
+			slots: slots + this.#extraStatements,
 			maximumEntries: options.maximumQueueEntries ?? defaultMaximumQueueEntries,
 			maximumBytes: options.maximumQueueBytes ?? defaultMaximumQueueBytes,
 		});
@@ -445,12 +453,12 @@
 		const slots = status?.slots ?? this.#options.slots;
 		this.#options.pool.resize(slots, status?.connectionLimit ?? this.#options.connectionLimit);
 		this.#permits.setLimit(this.#getPermitLimit(slots));
-		this.#queue.adapt(slots + (this.#options.extraStatements ?? 0));
+		this.#queue.adapt(slots + this.#extraStatements);
 	}
 
 	/** Transactions leave at least one connection for each slot to other work. */
 	#getPermitLimit(slots: number): number {
-		return Math.max(1, this.#options.pool.capacity - slots - (this.#options.extraStatements ?? 0));
+		return Math.max(1, this.#options.pool.capacity - slots - this.#extraStatements);
 	}
 
 	#checkIdle(): void {
--- a/packages/daemon/tests/process/instance-executors.test.ts
+++ b/packages/daemon/tests/process/instance-executors.test.ts
@@ -68,6 +68,7 @@
 		termConfirmation: {confirm: async () => ok({term: 1, index: 1})},
 		timerService,
 		policy: SchedulingPolicy.RefundPerSlotTime,
+		extraStatements: 0,
 		createPool: ({instance}) => new UpstreamPool({
 			timerService,
 			slots: instance.slots,
