--- /dev/null
+++ b/packages/bench/tests/load/load.test.ts
@@ -0,0 +1,141 @@
+import {describe, expect, it} from 'vitest';
+import {AcknowledgementMode, Rank, type RankTerms} from '@tarragonstack/core';
+import {
+	classifyError, getErrorCode, RankResult, RequestOutcome, RequestSource, SeededRandom, WriteGapTracker, type RankLoad,
+} from '../../src/index.js';
+
+const terms: RankTerms = {
+	targetLatencyMilliseconds: 100,
+	timeoutMilliseconds: 1000,
+	maximumStalenessMilliseconds: 0,
+	lateRefund: 10,
+	refusedRefund: 4,
+	floorShare: 0.1,
+	acknowledgement: AcknowledgementMode.Fenced,
+	repeatable: false,
+};
+
+const load: RankLoad = {
+	rank: Rank.Urgent, requestsPerSecond: 100, readShare: 0.5, serviceMilliseconds: 5, sessionCount: 10,
+};
+
+function createSource(seed: number, changes: Partial<RankLoad> = {}): RequestSource {
+	return new RequestSource({
+		load: {...load, ...changes}, random: new SeededRandom(seed), groups: ['g1', 'g2'], hosts: ['h1', 'h2', 'h3'], prefix: 'p',
+	}, 1000);
+}
+
+describe('RequestSource', () => {
+	it('repeats a load exactly with the same seed, so that a failure can be reproduced', () => {
+		const [first, second, other] = [createSource(1), createSource(1), createSource(2)];
+		const take = (source: RequestSource) => Array.from({length: 50}, () => {
+			const {statement, intendedTime, host} = source.next();
+			return {statement, intendedTime, host};
+		});
+		const requests = take(first);
+		expect(take(second)).toEqual(requests);
+		expect(take(other)).not.toEqual(requests);
+	});
+
+	it.each([
+		{guards: 'a rate that is too low or too high', changes: {requestsPerSecond: 500}, perSecond: 500},
+		{guards: 'a rate that does not depend on the settings', changes: {requestsPerSecond: 50}, perSecond: 50},
+	])('meets the rate: $guards', ({changes, perSecond}) => {
+		const source = createSource(3, changes);
+		const count = 20_000;
+		for (let index = 0; index < count; index++) {
+			source.next();
+		}
+
+		const rate = count / ((source.nextTime - 1000) / 1000);
+		expect(rate).toBeGreaterThan(perSecond * 0.97);
+		expect(rate).toBeLessThan(perSecond * 1.03);
+	});
+
+	it.each([
+		{guards: 'writes in a load of reads', readShare: 1, reads: 1},
+		{guards: 'reads in a load of writes', readShare: 0, reads: 0},
+		{guards: 'a mix with another share', readShare: 0.25, reads: 0.25},
+	])('mixes reads and writes: guards against $guards', ({readShare, reads}) => {
+		const source = createSource(4, {readShare});
+		const requests = Array.from({length: 10_000}, () => source.next());
+		expect(Math.abs((requests.filter(({isRead}) => isRead).length / requests.length) - reads)).toBeLessThan(0.02);
+	});
+
+	it('never writes the same key twice and reads the last acknowledged key of the session', () => {
+		const source = createSource(5);
+		const written = new Set<string>();
+		for (let index = 0; index < 2000; index++) {
+			const request = source.next();
+			if (request.isRead) {
+				expect(request.expectsRow).toBe(request.session.lastKey !== undefined);
+				expect(request.statement).toContain(`'${request.session.lastKey ?? 'p-none'}'`);
+			} else {
+				expect(written.has(request.key)).toBe(false);
+				written.add(request.key);
+				request.session.lastKey = request.key;
+			}
+		}
+	});
+});
+
+describe('RankResult', () => {
+	it.each([
+		{guards: 'an answer on time that costs a refund', latencies: [99], errors: [], late: 0, refund: 0},
+		{guards: 'a late answer without a refund', latencies: [101, 50], errors: [], late: 1, refund: 10},
+		{guards: 'a refusal that costs as much as a late answer', latencies: [], errors: ['TS001'], late: 0, refund: 4},
+		{guards: 'an unknown outcome or a lost connection without a refund', latencies: [], errors: ['08007', 'ECONNRESET'], late: 0, refund: 8},
+	])('computes refunds: guards against $guards', ({latencies, errors, late, refund}) => {
+		const result = new RankResult(terms);
+		for (const latency of latencies) {
+			result.noteAnswer(latency);
+		}
+
+		for (const code of errors) {
+			result.noteError(classifyError({code}), code);
+		}
+
+		expect(result.late).toBe(late);
+		expect(result.refund).toBe(refund);
+		expect(result.onTime).toBe(latencies.length - late);
+	});
+
+	it('returns percentiles within the precision of the histogram', () => {
+		const result = new RankResult(terms);
+		for (let latency = 1; latency <= 1000; latency++) {
+			result.noteAnswer(latency);
+		}
+
+		expect(Math.abs(result.getLatency(50) - 500)).toBeLessThan(2);
+		expect(Math.abs(result.getLatency(99) - 990)).toBeLessThan(3);
+	});
+});
+
+describe('classifyError', () => {
+	it.each([
+		{guards: 'a refusal that counts as a failure', error: {code: 'TS004'}, outcome: RequestOutcome.Refused, code: 'TS004'},
+		{guards: 'an unknown outcome that counts as a refusal', error: {code: '08007'}, outcome: RequestOutcome.Unknown, code: '08007'},
+		{guards: 'a lost connection that counts as a refusal', error: {code: 'ECONNRESET'}, outcome: RequestOutcome.Failed, code: 'ECONNRESET'},
+		{guards: 'an error without a code', error: new Error('timeout'), outcome: RequestOutcome.Failed, code: 'timeout'},
+	])('guards against $guards', ({error, outcome, code}) => {
+		expect(classifyError(error)).toBe(outcome);
+		expect(getErrorCode(error)).toBe(code);
+	});
+});
+
+describe('WriteGapTracker', () => {
+	it.each([
+		{guards: 'a gap between two writes that is missed', times: [10, 20, 520, 530], end: 540, after: 0, gap: 500},
+		{guards: 'a gap at the end that is missed', times: [10, 20], end: 400, after: 0, gap: 380},
+		{guards: 'a gap at the beginning that is missed', times: [300], end: 310, after: 0, gap: 300},
+		{guards: 'a gap before the fault that counts', times: [300, 310], end: 320, after: 305, gap: 10},
+		{guards: 'a group without writes', times: [], end: 700, after: 0, gap: 700},
+	])('guards against $guards', ({times, end, after, gap}) => {
+		const tracker = new WriteGapTracker(0);
+		for (const time of times) {
+			tracker.note('g', time);
+		}
+
+		expect(tracker.getLongestGap('g', end, after)).toBe(gap);
+	});
+});
--- a/packages/stand-ins/tests/instance/database-instance.test.ts
+++ b/packages/stand-ins/tests/instance/database-instance.test.ts
@@ -1,3 +1,4 @@
+import {createConnection} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 import pg from 'pg';
 import {SystemTimerService} from '@tarragonstack/core';
@@ -258,8 +259,13 @@
 			const status = await response.json() as {slots: {used: number; waiting: number}};
 			return status.slots.used + status.slots.waiting === 1;
 		});
-		const canceller = new pg.Client({host: '127.0.0.1', port: Number(primary.database.split(':')[1])});
-		(canceller as any).cancel(primary.client, (primary.client as any)._activeQuery ?? (primary.client as any).activeQuery);
+		const {processID, secretKey} = primary.client as unknown as {processID: number; secretKey: number};
+		const request = Buffer.alloc(16);
+		for (const [index, field] of [16, 80_877_102, processID, secretKey].entries()) {
+			request.writeInt32BE(field, index * 4);
+		}
+
+		createConnection({host: '127.0.0.1', port: Number(primary.database.split(':')[1])}).end(request);
 		expect(await sleeping).toBe('57014');
 		await control(primary, {slots: 1});
 		await primary.client.query('SELECT 1');
