Bound the work and the traffic of the directory in a large fleet

Change: entries of a long list are not passed on; the ring is computed once per round, with kept hashes.

--- a/packages/daemon/src/process/membership/fleet-directory.ts
+++ b/packages/daemon/src/process/membership/fleet-directory.ts
@@ -108,6 +108,7 @@
 	readonly #records = new Map<string, StoredRecord>();
 	readonly #versions = new Map<string, number>();
 	readonly #neighbours = new Map<string, Neighbour>();
+	readonly #ringWeights = new Map<string, number>();
 	readonly #misses = new Map<string, number>();
 	readonly #inFlight = new Set<string>();
 	/** Hosts that are not monitored but must be checked because a link to them ended. */
@@ -117,7 +118,8 @@
 	readonly #listAddresses = new Map<string, string>();
 	readonly #listeners = new Set<() => void>();
 	readonly #subscriptions: Disposable[] = [];
-	#monitored: string[] = [];
+	/** Peers that this host monitors; `undefined` after a change until the next round. */
+	#monitored: readonly string[] | undefined;
 	#sequence = 0;
 	#lastTickAt = 0;
 	#pauses = 0;
@@ -137,10 +139,8 @@
 		this.#random = options.random ?? Math.random;
 		this.ownName = options.own.name;
 		for (const seed of [...options.seeds, options.own]) {
-			this.#addUnconfirmed({...seed, incarnation: 0, state: HostState.Live});
+			this.#addUnconfirmed({...seed, incarnation: 0, state: HostState.Live}, options.seeds.length <= passedOnHosts);
 		}
-
-		this.#chooseMonitored();
 	}
 
 	/** Registers the handler of heartbeats and starts to send them. */
@@ -238,8 +238,7 @@
 	}
 
 	/** Adds a host that no peer has reported yet. */
-	#addUnconfirmed(record: HostRecord): void {
-		const passedOn = this.#records.size < passedOnHosts;
+	#addUnconfirmed(record: HostRecord, passedOn: boolean): void {
 		this.#sequence += Number(passedOn);
 		this.#records.set(record.name, {record, sequence: passedOn ? this.#sequence : 0, changedAt: this.#options.timerService.now()});
 	}
@@ -288,7 +287,7 @@
 	#startRound(now: number): void {
 		this.#pulseRequested = false;
 		this.#lastRoundAt = now;
-		for (const peer of new Set([...this.#monitored, ...this.#suspects])) {
+		for (const peer of new Set([...this.#getMonitored(), ...this.#suspects])) {
 			void this.#exchange(peer);
 		}
 	}
@@ -323,7 +322,7 @@
 			this.#misses.delete(peer);
 			this.#suspects.delete(peer);
 			if (this.#failed.delete(peer)) {
-				this.#chooseMonitored();
+				this.#monitored = undefined;
 				this.#notify();
 			}
 
@@ -472,7 +471,7 @@
 				this.#misses.delete(record.name);
 			}
 
-			this.#chooseMonitored();
+			this.#monitored = undefined;
 			this.#notify();
 		}
 	}
@@ -481,9 +480,13 @@
 		this.#pulseRequested = true;
 	}
 
-	#chooseMonitored(): void {
-		const reachable = [...this.#records.values()].filter(({record}) => this.#getState(record) !== HostState.Unreachable);
-		this.#monitored = chooseMonitoredPeers(this.ownName, reachable.map(({record}) => record.name));
+	#getMonitored(): readonly string[] {
+		if (!this.#monitored) {
+			const reachable = [...this.#records.values()].filter(({record}) => this.#getState(record) !== HostState.Unreachable);
+			this.#monitored = chooseMonitoredPeers(this.ownName, reachable.map(({record}) => record.name), this.#ringWeights);
+		}
+
+		return this.#monitored;
 	}
 
 	#notify(): void {
@@ -516,13 +519,13 @@
 				const state = member.state === MemberState.Leaving ? HostState.Leaving : HostState.Live;
 				this.#addUnconfirmed({
 					name: member.name, availabilityZone: member.availabilityZone, peerAddress: member.address, incarnation: 0, state,
-				});
+				}, members.length <= passedOnHosts);
 			}
 		}
 
 		changed = this.#forget() || changed;
 		if (changed) {
-			this.#chooseMonitored();
+			this.#monitored = undefined;
 			this.#notify();
 		}
 	}
--- a/packages/daemon/src/process/membership/monitoring-ring.ts
+++ b/packages/daemon/src/process/membership/monitoring-ring.ts
@@ -20,10 +20,15 @@
  *
  * @param ownName - Name of this host.
  * @param names - Names of all hosts to monitor; may contain the own name.
+ * @param weights - Weights that were computed before, by name; new ones are added.
  */
-export function chooseMonitoredPeers(ownName: string, names: Iterable<string>): string[] {
+export function chooseMonitoredPeers(ownName: string, names: Iterable<string>, weights = new Map<string, number>()): string[] {
 	const ring = [...new Set([...names, ownName])]
-		.map(name => ({name, weight: getRendezvousWeight('monitoring-ring', name)}))
+		.map(name => {
+			const weight = weights.get(name) ?? getRendezvousWeight('monitoring-ring', name);
+			weights.set(name, weight);
+			return {name, weight};
+		})
 		.toSorted((left, right) => left.weight - right.weight || (left.name < right.name ? -1 : 1));
 	const own = ring.findIndex(({name}) => name === ownName);
 	const chosen: string[] = [];
--- a/packages/daemon/tests/version/fake-key-value-service.ts
+++ b/packages/daemon/tests/version/fake-key-value-service.ts
@@ -48,6 +48,7 @@
 				await new Promise<void>(resolve => {
 					const finish = () => {
 						this.#wakers.delete(finish);
+						signal.removeEventListener('abort', finish);
 						resolve();
 					};
 
