Bound the queue without harm to open transactions, and report stalled statements as wait

Cause: a full queue refused work of open transactions; a stalled instance reported no wait, so that routers kept choosing it.

--- a/packages/daemon/src/connection/upstream/index.ts
+++ b/packages/daemon/src/connection/upstream/index.ts
@@ -1,2 +1,3 @@
+export * from './create-upstream-pool.js';
 export * from './upstream-connection.js';
 export * from './upstream-pool.js';
--- a/packages/daemon/src/connection/upstream/upstream-connection.ts
+++ b/packages/daemon/src/connection/upstream/upstream-connection.ts
@@ -53,6 +53,7 @@
 		const client = new pg.Client({
 			...options,
 			stream: () => socket,
+			keepAlive: true,
 			connectionTimeoutMillis: options.timeoutMilliseconds,
 		});
 		// After the log-in the connection watches the socket itself.
--- a/packages/daemon/src/process/instance-executors.ts
+++ b/packages/daemon/src/process/instance-executors.ts
@@ -1,5 +1,5 @@
 import {
-	RefusalReason, type Logger, type Refusal, type ResponseSink, type TimerService, type UpstreamRequest, type UpstreamResult,
+	RefusalReason, type Logger, type Metrics, type Refusal, type ResponseSink, type TimerService, type UpstreamRequest, type UpstreamResult,
 } from '@tarragonstack/core';
 import {type GroupView} from '../request/group-view.js';
 import {type InstanceExecutor} from '../request/instance-executor.js';
@@ -28,6 +28,7 @@
 	/** Creates the connection pool of an instance. */
 	readonly createPool: (definition: InstanceInGroup) => ConnectionPool;
 	readonly logger?: Logger;
+	readonly metrics?: Metrics;
 	readonly extraStatements?: number;
 };
 
@@ -137,7 +138,7 @@
 		// Two schedulers for one instance would together exceed its slots.
 		let scheduler = this.#schedulers.get(instance.name) ?? this.#revive(instance.name);
 		if (!scheduler) {
-			const {policy, timerService, groupView, termConfirmation, logger, extraStatements} = this.#options;
+			const {policy, timerService, groupView, termConfirmation, logger, metrics, extraStatements} = this.#options;
 			scheduler = new InstanceScheduler({
 				instance: instance.name,
 				group: group.name,
@@ -149,6 +150,7 @@
 				termConfirmation,
 				pool: this.#options.createPool(definition),
 				...(logger && {logger}),
+				...(metrics && {metrics}),
 				...(extraStatements !== undefined && {extraStatements}),
 			});
 			this.#schedulers.set(instance.name, scheduler);
--- a/packages/daemon/src/process/instance-scheduler-options.ts
+++ b/packages/daemon/src/process/instance-scheduler-options.ts
@@ -1,5 +1,5 @@
 import {
-	type Logger, type ResponseSink, type TimerService, type UpstreamRequest,
+	type Logger, type Metrics, type ResponseSink, type TimerService, type UpstreamRequest,
 } from '@tarragonstack/core';
 import {type GroupView} from '../request/group-view.js';
 import {type SchedulingPolicy} from '../request/scheduling/scheduling-policy.js';
@@ -20,6 +20,7 @@
 	/** The scheduler disposes of the pool. */
 	readonly pool: ConnectionPool;
 	readonly logger?: Logger;
+	readonly metrics?: Metrics;
 	/** Statements dispatched beyond the slots, so that a slot does not stay empty for a round trip. */
 	readonly extraStatements?: number;
 	readonly maximumQueueEntries?: number;
--- a/packages/daemon/src/process/instance-scheduler.ts
+++ b/packages/daemon/src/process/instance-scheduler.ts
@@ -1,5 +1,5 @@
 import {
-	RefusalReason, RequestKind, TransactionStatus, Verdict,
+	MetricName, RefusalReason, RequestKind, TransactionStatus, Verdict,
 	type Refusal, type ResponseSink, type UpstreamLoad, type UpstreamRequest, type UpstreamResult,
 } from '@tarragonstack/core';
 import {type Result} from 'neverthrow';
@@ -299,6 +299,13 @@
 			return getNotRun(connectionRefusals[connection.error]);
 		}
 
+		if (job.signal.aborted || this.#options.timerService.now() >= job.givenUpAt) {
+			// Nobody waits any more, and nothing was sent yet.
+			slot.value.release(false);
+			this.#options.pool.release(connection.value);
+			return getNotRun({reason: RefusalReason.DeadlineExceeded, message: 'the request was given up before the start'});
+		}
+
 		let isFinished = false;
 		const finishSlot = (isMeasured: boolean) => {
 			if (!isFinished) {
@@ -425,7 +432,9 @@
 
 	async #acquireSlot(job: ScheduledRequest, isContinuation: boolean): Promise<Result<Slot, Refusal>> {
 		const {request, lateAt, givenUpAt, signal} = job;
-		return this.#queue.acquire({
+		const {timerService, metrics} = this.#options;
+		const queuedAt = timerService.now();
+		const slot = await this.#queue.acquire({
 			customer: request.customer,
 			customerWeight: request.customerWeight,
 			rank: request.rank,
@@ -438,6 +447,8 @@
 			givenUpAt,
 			isContinuation,
 		}, signal);
+		metrics?.histogram(MetricName.QueueWait, timerService.now() - queuedAt, {customer: request.customer, rank: request.rank});
+		return slot;
 	}
 
 	#getConnectionTimeout(job: ScheduledRequest): number {
--- a/packages/daemon/src/request/scheduling/slot-queue.ts
+++ b/packages/daemon/src/request/scheduling/slot-queue.ts
@@ -30,7 +30,7 @@
 	readonly bytes: number;
 	readonly lateAt: number;
 	readonly givenUpAt: number;
-	/** Work of an open transaction, which holds a connection and locks. It is admitted unless the queue is full. */
+	/** Work of an open transaction, which holds a connection and locks. It is always admitted. */
 	readonly isContinuation: boolean;
 };
 
@@ -181,13 +181,14 @@
 			return {reason: RefusalReason.DeadlineExceeded, message: 'the time limit passed before the start'};
 		}
 
-		const isFull = this.#waiting.size >= this.#options.maximumEntries
-			|| this.#waitingBytes + work.bytes > this.#options.maximumBytes;
-		if (isFull || (!work.isContinuation && !this.#strategy.admits(work, this.#getState()))) {
-			return this.#getOverload(work);
+		if (work.isContinuation) {
+			// The number of open transactions bounds this work.
+			return undefined;
 		}
 
-		return undefined;
+		const isFull = this.#waiting.size >= this.#options.maximumEntries
+			|| this.#waitingBytes + work.bytes > this.#options.maximumBytes;
+		return isFull || !this.#strategy.admits(work, this.#getState()) ? this.#getOverload(work) : undefined;
 	}
 
 	#getOverload(work: ScheduledWork): Refusal {
@@ -203,7 +204,9 @@
 		const now = this.#options.timerService.now();
 		let residual = 0;
 		for (const {work, startedAt} of this.#running) {
-			residual += Math.max(0, work.serviceMilliseconds - (now - startedAt));
+			// A statement that already takes longer than usual is expected to take as much longer again. An instance that does
+			// not answer thus gets a growing wait instead of none, and the routers turn away from it.
+			residual += Math.abs(work.serviceMilliseconds - (now - startedAt));
 		}
 
 		return {
--- /dev/null
+++ b/packages/daemon/tests/request/scheduling/slot-queue.test.ts
@@ -0,0 +1,95 @@
+import {
+	ManualTimerService, Rank, RefusalReason, RequestKind,
+} from '@tarragonstack/core';
+import {describe, expect, it} from 'vitest';
+import {SchedulingPolicy} from '../../../src/request/scheduling/scheduling-policy.js';
+import {SlotQueue, type SlotRequest} from '../../../src/request/scheduling/slot-queue.js';
+
+function createQueue(timerService: ManualTimerService, policy = SchedulingPolicy.FirstInFirstOut): SlotQueue {
+	return new SlotQueue({
+		timerService, policy, slots: 1, maximumEntries: 3, maximumBytes: 1000,
+	});
+}
+
+function createRequest(overrides: Partial<SlotRequest> = {}): SlotRequest {
+	return {
+		customer: 'a',
+		customerWeight: 1,
+		rank: Rank.Urgent,
+		kind: RequestKind.Read,
+		floorShare: 0,
+		lateRefund: 1,
+		refusedRefund: 1,
+		bytes: 100,
+		lateAt: 100,
+		givenUpAt: 200,
+		isContinuation: false,
+		...overrides,
+	};
+}
+
+const {signal} = new AbortController();
+
+describe('SlotQueue', () => {
+	it.each([
+		{waiting: 3, bytes: 100, guards: 'entries without bound'},
+		{waiting: 2, bytes: 900, guards: 'bytes without bound'},
+	])('refuses work with a hint when the queue is full, against $guards', async ({waiting, bytes}) => {
+		const timerService = new ManualTimerService();
+		const queue = createQueue(timerService);
+		await queue.acquire(createRequest(), signal);
+		for (let count = 0; count < waiting; count++) {
+			void queue.acquire(createRequest(), signal);
+		}
+
+		const refused = await queue.acquire(createRequest({bytes}), signal);
+		expect(refused._unsafeUnwrapErr().reason).toBe(RefusalReason.Overloaded);
+		expect(refused._unsafeUnwrapErr().retryAfterMilliseconds).toBeGreaterThan(0);
+		queue.close();
+	});
+
+	it('admits work of an open transaction although the queue is full, since its refusal would waste the transaction', async () => {
+		const timerService = new ManualTimerService();
+		const queue = createQueue(timerService);
+		const first = await queue.acquire(createRequest(), signal);
+		const waiting = [1, 2, 3].map(() => queue.acquire(createRequest(), signal));
+		const continuation = queue.acquire(createRequest({isContinuation: true}), signal);
+		expect(queue.waitingCount).toBe(4);
+		first._unsafeUnwrap().release(true);
+		for (const slot of waiting) {
+			const granted = await slot;
+			granted._unsafeUnwrap().release(true);
+		}
+
+		const granted = await continuation;
+		expect(granted.isOk()).toBe(true);
+	});
+
+	it.each(Object.values(SchedulingPolicy))('drops waiting work when its time limit passes under %s, against work that runs for nobody', async policy => {
+		const timerService = new ManualTimerService();
+		const queue = createQueue(timerService, policy);
+		await queue.acquire(createRequest(), signal);
+		const waiting = queue.acquire(createRequest({refusedRefund: 2}), signal);
+		await timerService.advance(201);
+		const result = await waiting;
+		expect(result._unsafeUnwrapErr().reason).toBe(RefusalReason.DeadlineExceeded);
+		expect(queue.waitingCount).toBe(0);
+	});
+
+	it.each(Object.values(SchedulingPolicy))('reports a growing wait while a statement does not end under %s, against routers that keep choosing a stalled instance', async policy => {
+		const timerService = new ManualTimerService();
+		const queue = createQueue(timerService, policy);
+		await queue.acquire(createRequest(), signal);
+		await timerService.advance(1000);
+		expect(queue.getLoad().expectedWaitMilliseconds[Rank.Urgent]).toBeGreaterThan(900);
+	});
+
+	it('refuses waiting and new work after it was closed', async () => {
+		const queue = createQueue(new ManualTimerService());
+		await queue.acquire(createRequest(), signal);
+		const waiting = queue.acquire(createRequest(), signal);
+		queue.close();
+		const results = await Promise.all([waiting, queue.acquire(createRequest(), signal)]);
+		expect(results.map(result => result._unsafeUnwrapErr().reason)).toEqual([RefusalReason.Stopping, RefusalReason.Stopping]);
+	});
+});
