Begin the watch of tarragonctl at the revision that was read

Cause: a service that has compacted its history refuses a watch from the first revision on, so watch would never begin. Change: the record is read before each watch, which also shows changes that an interruption hid.

--- a/packages/control/src/configuration-commands.ts
+++ b/packages/control/src/configuration-commands.ts
@@ -194,22 +194,34 @@
 	async watch(print: (result: CommandResult) => void, signal: AbortSignal): Promise<CommandResult> {
 		let revision = 0;
 		let previous: Configuration | undefined;
+		const report = (checked: Result<Configuration, string | string[]>) => {
+			if (checked.isErr()) {
+				print(fail(ExitCode.InvalidInput, checked.error, 'Hosts ignore this record. Put a valid one.'));
+				return;
+			}
+
+			const {version, author, time, changeIdentifier} = checked.value;
+			const differences = previous ? listDifferences(getSections(previous), getSections(checked.value)) : [];
+			previous = checked.value;
+			print(succeed([`version ${version} by ${author} at ${time}`, ...differences.map(line => `  ${line}`)], {
+				version, author, time, changeIdentifier, differences,
+			}));
+		};
+
 		while (!signal.aborted) {
+			// The service may have compacted the history, so a watch begins at the revision that was read.
+			const read = await this.#client.read();
+			if (read.isErr()) {
+				print(fail(ExitCode.Failure, read.error, 'It is tried again every second.'));
+			} else if (read.value.revision > revision && read.value.configuration) {
+				revision = read.value.revision;
+				report(ok(read.value.configuration));
+			}
+
 			try {
 				for await (const entry of this.keyValueService.watch(configurationKey, revision, signal)) {
 					revision = entry.revision;
-					const checked = parseRecord(entry.value);
-					if (checked.isErr()) {
-						print(fail(ExitCode.InvalidInput, checked.error, 'Hosts ignore this record. Put a valid one.'));
-						continue;
-					}
-
-					const {version, author, time, changeIdentifier} = checked.value;
-					const differences = previous ? listDifferences(getSections(previous), getSections(checked.value)) : [];
-					previous = checked.value;
-					print(succeed([`version ${version} by ${author} at ${time}`, ...differences.map(line => `  ${line}`)], {
-						version, author, time, changeIdentifier, differences,
-					}));
+					report(parseRecord(entry.value));
 				}
 			} catch (error) {
 				print(fail(ExitCode.Failure, `the watch failed: ${String(error)}`, 'It is tried again every second.'));
