--- a/packages/stand-ins/src/instance/instance-state.ts
+++ b/packages/stand-ins/src/instance/instance-state.ts
@@ -1,9 +1,12 @@
-import {type LogPosition, type TimerService} from '@tarragonstack/core';
+import {encodeFrame, maximumFrameBytes, type LogPosition, type TimerService} from '@tarragonstack/core';
 import {Journal} from './journal.js';
 import {ReplicatedLog, type LogRecord} from './replicated-log.js';
 import {SqlError} from './sql-error.js';
 import {type RowChange} from './table-store.js';
 
+/** Greatest size of a transaction's changes; leaves room for the rest of a replication message. */
+const maximumTransactionBytes = maximumFrameBytes / 2;
+
 /** Role of an instance in its group. */
 export enum InstanceRole {
 	Primary = 'primary',
@@ -165,7 +168,12 @@
 			throw new SqlError('25006', 'cannot commit: the instance is not the primary of its group, or no longer');
 		}
 
-		this.appendRecord({kind: 'entry', index: this.position.index + 1, changes});
+		const record: LogRecord = {kind: 'entry', index: this.position.index + 1, changes};
+		if (encodeFrame(record).length > maximumTransactionBytes) {
+			throw new SqlError('54000', `the changes of a transaction take more than ${maximumTransactionBytes} bytes`);
+		}
+
+		this.appendRecord(record);
 	}
 
 	/**
--- a/packages/stand-ins/src/instance/journal.ts
+++ b/packages/stand-ins/src/instance/journal.ts
@@ -26,12 +26,13 @@
 			return [];
 		}
 
-		const records = existsSync(this.#file)
-			// A record that the end of the process cut off was never acknowledged and is ignored.
-			? new FrameDecoder().push(readFileSync(this.#file)).unwrapOr([]) as JournalRecord[]
-			: [];
+		const records = new FrameDecoder().push(existsSync(this.#file) ? readFileSync(this.#file) : Buffer.alloc(0));
+		if (records.isErr()) {
+			throw new Error(`the journal "${this.#file}" cannot be read: ${records.error}`);
+		}
+
 		this.#descriptor = openSync(this.#file, 'a');
-		return records;
+		return records.value as JournalRecord[];
 	}
 
 	/**
--- a/packages/stand-ins/src/instance/replication-server.ts
+++ b/packages/stand-ins/src/instance/replication-server.ts
@@ -1,15 +1,16 @@
 import {type Socket} from 'node:net';
 import {
-	encodeFrame, FrameDecoder, type Logger, type TimerService,
+	encodeFrame, FrameDecoder, maximumFrameBytes, type Logger, type TimerService,
 } from '@tarragonstack/core';
 import {type InstanceFaults} from './instance-options.js';
 import {InstanceRole, type InstanceState} from './instance-state.js';
+import {type LogRecord} from './replicated-log.js';
 import {type HelloMessage, type PrimaryMessage} from './replication-message.js';
 
 /** Interval of the messages that show a replica that its primary lives. */
 const keepAliveIntervalMilliseconds = 20;
 
-/** Entries in one message; keeps a message well below the frame limit. */
+/** Entries in one message. */
 const maximumEntriesPerMessage = 100;
 
 /** Bytes that may wait in a socket before the server stops to send records to it. */
@@ -132,7 +133,19 @@
 				}
 			}
 
-			this.#send(follower.socket, {kind: 'records', term: this.#state.term, records});
+			this.#sendBatch(follower.socket, records);
+		}
+	}
+
+	/** Sends records in as many messages as the limit of frames demands. A single record always fits. */
+	#sendBatch(socket: Socket, records: readonly LogRecord[]): void {
+		const frame = encodeFrame({kind: 'records', term: this.#state.term, records} satisfies PrimaryMessage);
+		if (frame.length > maximumFrameBytes && records.length > 1) {
+			const middle = Math.ceil(records.length / 2);
+			this.#sendBatch(socket, records.slice(0, middle));
+			this.#sendBatch(socket, records.slice(middle));
+		} else if (socket.writable) {
+			socket.write(frame);
 		}
 	}
 
--- a/packages/stand-ins/tests/instance/replication.test.ts
+++ b/packages/stand-ins/tests/instance/replication.test.ts
@@ -205,6 +205,18 @@
 		expect(await late.status()).toMatchObject({role: 'replica', term: '1', log_term: '1', primary_address: a.database});
 	});
 
+	it('carries large rows to a late replica in several messages, because a message has a size limit', async () => {
+		const [a] = await startGroup();
+		for (let key = 0; key < 12; key++) {
+			await a.client.query('INSERT INTO t (id, text) VALUES ($1, $2)', [key, 'x'.repeat(200_000)]);
+		}
+
+		const late = await Member.start('late');
+		await late.call(`tarragon_follow('${a.database}', 1)`);
+		await waitForIndex(late, 12);
+		expect(await getCode(a.client.query('INSERT INTO t (id, text) VALUES ($1, $2)', [99, 'x'.repeat(600_000)]))).toBe('54000');
+	});
+
 	it('shows writes only after the set lag', async () => {
 		const [a, b] = await startGroup();
 		await b.control({lagMilliseconds: 200});
