--- a/packages/bench/src/experiment/event-loop-reporter.ts
+++ b/packages/bench/src/experiment/event-loop-reporter.ts
@@ -1,5 +1,8 @@
-/** Preloaded into the processes of an experiment: appends the event-loop delay and the CPU time of each second to a file. */
-import {appendFileSync} from 'node:fs';
+/**
+ * Preloaded into the processes of an experiment: appends the event-loop delay, the CPU time and the time without a CPU of
+ * each second to a file.
+ */
+import {appendFileSync, readFileSync} from 'node:fs';
 import path from 'node:path';
 import {monitorEventLoopDelay} from 'node:perf_hooks';
 import process from 'node:process';
@@ -12,18 +15,32 @@
 
 const nanosecondsPerMillisecond = 1e6;
 
+/** Returns the time for which the main thread was ready to run but had no CPU, in nanoseconds. */
+function getRunQueueWait(): number {
+	try {
+		return Number(readFileSync('/proc/self/schedstat', 'utf8').split(' ')[1]);
+	} catch {
+		// Only Linux has the file.
+		return 0;
+	}
+}
+
 const directory = process.env[directoryVariable];
 if (directory !== undefined) {
 	const histogram = monitorEventLoopDelay({resolution: resolutionMilliseconds});
 	histogram.enable();
 	let usage = process.cpuUsage();
+	let wait = getRunQueueWait();
 	setInterval(() => {
 		const used = process.cpuUsage(usage);
 		usage = process.cpuUsage();
+		const waitBefore = wait;
+		wait = getRunQueueWait();
 		const sample: ProcessSample = {
 			time: Date.now(),
 			delayP99Milliseconds: Math.max(0, (histogram.percentile(99) / nanosecondsPerMillisecond) - resolutionMilliseconds),
 			delayMaximumMilliseconds: Math.max(0, (histogram.max / nanosecondsPerMillisecond) - resolutionMilliseconds),
+			cpuWaitShare: (wait - waitBefore) / nanosecondsPerMillisecond / intervalMilliseconds,
 			cpuShare: (used.user + used.system) / 1000 / intervalMilliseconds,
 		};
 		histogram.reset();
--- a/packages/bench/src/experiment/experiment.ts
+++ b/packages/bench/src/experiment/experiment.ts
@@ -16,6 +16,12 @@
 	readonly fleet: Fleet;
 	readonly timerService: TimerService;
 
+	/** Groups that lost their primary, with the time of the loss. */
+	readonly losses: Array<{readonly group: string; readonly time: number}>;
+
+	/** Reads and writes of processes that ended. */
+	readonly lostCounts: ReadCounts[];
+
 	/**
 	 * Waits until a time of the load.
 	 *
@@ -25,12 +31,6 @@
 
 	/** Returns the time from the start of the load, in milliseconds. */
 	now(): number;
-
-	/** Groups that lost their primary, with the time of the loss. */
-	readonly losses: Array<{readonly group: string; readonly time: number}>;
-
-	/** Reads and writes of processes that ended. */
-	readonly lostCounts: ReadCounts[];
 };
 
 /** What a target is checked against. */
--- a/packages/bench/src/experiment/load-worker-messages.ts
+++ b/packages/bench/src/experiment/load-worker-messages.ts
@@ -18,12 +18,11 @@
 };
 
 /** Message to a load generator process. */
-export type LoadWorkerCommand =
-	| {readonly kind: 'prepare'; readonly task: LoadTask}
-	/** `startAt` is in milliseconds of the system clock. */
-	| {readonly kind: 'start'; readonly startAt: number};
+export type LoadWorkerCommand
+	= | {readonly kind: 'prepare'; readonly task: LoadTask}
+		| {readonly kind: 'start'; readonly startAt: number};
 
 /** Message from a load generator process. */
-export type LoadWorkerReport =
-	| {readonly kind: 'ready'}
-	| {readonly kind: 'finished'; readonly records: readonly RequestRecord[]; readonly missedOwnWrites: number};
+export type LoadWorkerReport
+	= | {readonly kind: 'ready'}
+		| {readonly kind: 'finished'; readonly records: readonly RequestRecord[]; readonly missedOwnWrites: number};
--- a/packages/bench/src/experiment/overhead.ts
+++ b/packages/bench/src/experiment/overhead.ts
@@ -1,14 +1,11 @@
-import {mkdtemp, rm} from 'node:fs/promises';
 import os from 'node:os';
-import path from 'node:path';
 import process from 'node:process';
-import {pathToFileURL} from 'node:url';
 import {SystemTimerService, type Contract} from '@tarragonstack/core';
 import {build} from 'hdr-histogram-js';
 import pg from 'pg';
-import {getCompiledPath} from '../fleet/compiled-path.js';
 import {Fleet, type Deployment} from '../fleet/index.js';
-import {directoryVariable, summarizeProcesses} from './process-samples.js';
+import {summarizeProcesses} from './process-samples.js';
+import {SampleDirectory} from './sample-directory.js';
 
 /** What the experiment measures. */
 export const overheadDescription = 'added latency of one host, and the statements a second that it carries';
@@ -85,40 +82,34 @@
  * @param seed - Selects the loopback addresses.
  */
 export async function measureOverhead(deployment: Deployment, contracts: readonly Contract[], seed: number): Promise<Overhead> {
-	const samples = await mkdtemp(path.join(os.tmpdir(), 'tarragon-samples-'));
-	process.env[directoryVariable] = samples;
-	process.env.NODE_OPTIONS = `--import ${pathToFileURL(getCompiledPath('@tarragonstack/bench', 'experiment/event-loop-reporter.js')).href}`;
+	await using samples = await SampleDirectory.create();
 	const small: Deployment = {
 		...deployment, hostCount: 1, groups: deployment.groups.slice(0, 1), availabilityZones: deployment.availabilityZones.slice(0, 1), slots, connectionLimit,
 	};
-	try {
-		const loadAverage = os.loadavg()[0]!;
-		await using fleet = await Fleet.start({
-			deployment: small, contracts: contracts.map(contract => ({...contract, groups: [...small.groups]})), seed: process.pid + seed, serviceMilliseconds: 0,
-		});
-		const [instance] = fleet.instances;
-		const hostString = fleet.getConnectionString(fleet.hosts[0]!.name);
-		// The comparison contains the relay on both sides, as the host reaches the instance through it.
-		const directString = `postgresql://tarragon:upstream-of-the-fleet@${instance!.relayAddress}/${small.groups[0]!}`;
-		await measureLatency(hostString);
-		const direct = await measureLatency(directString);
-		const host = await measureLatency(hostString);
-		const startAt = Date.now();
-		const count = await countStatements(hostString);
-		const pids = fleet.readyLines.filter(({role}) => role === 'host').map(({pid}) => pid);
-		const summary = await summarizeProcesses(samples, pids, startAt + throughputWarmUpMilliseconds, startAt + throughputMilliseconds);
-		const statementsPerSecond = count * 1000 / (throughputMilliseconds - throughputWarmUpMilliseconds);
-		return {
-			direct,
-			host,
-			addedP50Milliseconds: host.p50Milliseconds - direct.p50Milliseconds,
-			addedP99Milliseconds: host.p99Milliseconds - direct.p99Milliseconds,
-			statementsPerSecond,
-			hostCpuShare: summary.cpuShare,
-			statementsPerCoreSecond: statementsPerSecond / summary.cpuShare,
-			loadAverage,
-		};
-	} finally {
-		await rm(samples, {recursive: true, force: true});
-	}
+	const loadAverage = os.loadavg()[0]!;
+	await using fleet = await Fleet.start({
+		deployment: small, contracts: contracts.map(contract => ({...contract, groups: [...small.groups]})), seed: process.pid + seed, serviceMilliseconds: 0,
+	});
+	const [instance] = fleet.instances;
+	const hostString = fleet.getConnectionString(fleet.hosts[0]!.name);
+	// The comparison contains the relay on both sides, as the host reaches the instance through it.
+	const directString = `postgresql://tarragon:upstream-of-the-fleet@${instance!.relayAddress}/${small.groups[0]!}`;
+	await measureLatency(hostString);
+	const direct = await measureLatency(directString);
+	const host = await measureLatency(hostString);
+	const startAt = Date.now();
+	const count = await countStatements(hostString);
+	const pids = fleet.readyLines.filter(({role}) => role === 'host').map(({pid}) => pid);
+	const summary = await summarizeProcesses(samples.path, pids, startAt + throughputWarmUpMilliseconds, startAt + throughputMilliseconds);
+	const statementsPerSecond = count * 1000 / (throughputMilliseconds - throughputWarmUpMilliseconds);
+	return {
+		direct,
+		host,
+		addedP50Milliseconds: host.p50Milliseconds - direct.p50Milliseconds,
+		addedP99Milliseconds: host.p99Milliseconds - direct.p99Milliseconds,
+		statementsPerSecond,
+		hostCpuShare: summary.cpuShare,
+		statementsPerCoreSecond: statementsPerSecond / summary.cpuShare,
+		loadAverage,
+	};
 }
--- a/packages/bench/src/experiment/process-samples.ts
+++ b/packages/bench/src/experiment/process-samples.ts
@@ -12,6 +12,8 @@
 	readonly delayMaximumMilliseconds: number;
 	/** CPU time as a share of one core. */
 	readonly cpuShare: number;
+	/** Share of the time for which the process was ready to run but other processes used the CPUs. */
+	readonly cpuWaitShare: number;
 };
 
 /** Summary of several processes. */
@@ -22,6 +24,8 @@
 	readonly delayMaximumMilliseconds: number;
 	/** Mean of all processes. */
 	readonly cpuShare: number;
+	/** Mean of all processes. A high share means that the machine, not the product, delays the answers. */
+	readonly cpuWaitShare: number;
 	/** Greatest second of any process. */
 	readonly cpuShareMaximum: number;
 };
@@ -48,14 +52,17 @@
 
 	const sorted = samples.map(sample => sample.delayP99Milliseconds).toSorted((left, right) => left - right);
 	let cpuShare = 0;
+	let cpuWaitShare = 0;
 	for (const sample of samples) {
 		cpuShare += sample.cpuShare / samples.length;
+		cpuWaitShare += sample.cpuWaitShare / samples.length;
 	}
 
 	return {
 		delayP99Milliseconds: sorted[Math.floor(sorted.length / 2)] ?? 0,
 		delayMaximumMilliseconds: Math.max(0, ...samples.map(sample => sample.delayMaximumMilliseconds)),
 		cpuShare,
+		cpuWaitShare,
 		cpuShareMaximum: Math.max(0, ...samples.map(sample => sample.cpuShare)),
 	};
 }
--- a/packages/bench/src/experiment/report-table.ts
+++ b/packages/bench/src/experiment/report-table.ts
@@ -43,7 +43,8 @@
 	);
 	for (const [name, summary] of Object.entries(report.processes)) {
 		lines.push(`${name}: event-loop delay p99 ${summary.delayP99Milliseconds.toFixed(1)} ms (median of seconds), greatest ${summary.delayMaximumMilliseconds.toFixed(1)} ms; `
-			+ `CPU ${(100 * summary.cpuShare).toFixed(0)} % of a core, greatest ${(100 * summary.cpuShareMaximum).toFixed(0)} %`);
+			+ `CPU ${(100 * summary.cpuShare).toFixed(0)} % of a core, greatest ${(100 * summary.cpuShareMaximum).toFixed(0)} %; `
+			+ `without a CPU ${(100 * summary.cpuWaitShare).toFixed(1)} % of the time`);
 	}
 
 	for (const {name, value, target, isMet} of report.checks) {
--- a/packages/bench/src/experiment/run-experiment.ts
+++ b/packages/bench/src/experiment/run-experiment.ts
@@ -1,19 +1,16 @@
-import {mkdtemp, rm} from 'node:fs/promises';
 import os from 'node:os';
-import path from 'node:path';
 import process from 'node:process';
-import {pathToFileURL} from 'node:url';
-import {Rank, SystemTimerService, type Contract} from '@tarragonstack/core';
-import {getCompiledPath} from '../fleet/compiled-path.js';
+import {SystemTimerService, type Contract, type Rank} from '@tarragonstack/core';
 import {Fleet, type Deployment, type ReadCounts} from '../fleet/index.js';
 import {RequestOutcome, WriteGapTracker, type RankLoad} from '../load/index.js';
 import {type Check, type Experiment, type ExperimentContext, type ExperimentOutcome} from './experiment.js';
 import {loadMilliseconds, warmUpMilliseconds} from './experiments.js';
 import {LoadWorkers} from './load-workers.js';
-import {directoryVariable, summarizeProcesses, type ProcessSummary} from './process-samples.js';
+import {summarizeProcesses, type ProcessSummary} from './process-samples.js';
 import {getAllRankFigures, type RankFigures} from './rank-account.js';
 import {getRefundLowerBound} from './refund-lower-bound.js';
 import {type RequestRecord} from './request-record.js';
+import {SampleDirectory} from './sample-directory.js';
 import {clientDelayMilliseconds, serviceMilliseconds} from './standard-load.js';
 
 /** Share of the offered requests of one second for which connections are opened before the load begins. */
@@ -71,33 +68,26 @@
  */
 export async function runExperiment(options: RunOptions): Promise<ExperimentReport> {
 	const {experiment, deployment, contracts, policy, seed, scale = 1} = options;
-	const samples = await mkdtemp(path.join(os.tmpdir(), 'tarragon-samples-'));
-	const reporter = pathToFileURL(getCompiledPath('@tarragonstack/bench', 'experiment/event-loop-reporter.js')).href;
-	process.env[directoryVariable] = samples;
-	process.env.NODE_OPTIONS = `--import ${reporter}`;
+	await using samples = await SampleDirectory.create();
 	const loads = experiment.createLoads(deployment).map(load => ({...load, requestsPerSecond: load.requestsPerSecond * scale}));
-	try {
-		await using fleet = await Fleet.start({deployment, contracts, schedulingPolicy: policy, seed: process.pid});
-		using workers = new LoadWorkers({
-			loads,
-			durationMilliseconds: loadMilliseconds * scale,
-			seed,
-			prefix: `load-${seed}`,
-			contract: contracts[0]!,
-			hosts: fleet.hosts.map(({name}) => name),
-			groups: deployment.groups,
-			connectionStrings: Object.fromEntries(fleet.hosts.flatMap(({name}) =>
-				deployment.groups.map(group => [`${name}/${group}`, fleet.getConnectionString(name, group)]))),
-			warmConnections: getWarmConnections(loads, fleet.hosts.length * deployment.groups.length),
-			clientDelayMilliseconds,
-		});
-		await workers.prepare();
-		return await measure(options, {
-			fleet, workers, loads, samples,
-		});
-	} finally {
-		await rm(samples, {recursive: true, force: true});
-	}
+	await using fleet = await Fleet.start({deployment, contracts, schedulingPolicy: policy, seed: process.pid});
+	using workers = new LoadWorkers({
+		loads,
+		durationMilliseconds: loadMilliseconds * scale,
+		seed,
+		prefix: `load-${seed}`,
+		contract: contracts[0]!,
+		hosts: fleet.hosts.map(({name}) => name),
+		groups: deployment.groups,
+		connectionStrings: Object.fromEntries(fleet.hosts.flatMap(({name}) =>
+			deployment.groups.map(group => [`${name}/${group}`, fleet.getConnectionString(name, group)]))),
+		warmConnections: getWarmConnections(loads, fleet.hosts.length * deployment.groups.length),
+		clientDelayMilliseconds,
+	});
+	await workers.prepare();
+	return await measure(options, {
+		fleet, workers, loads, samples: samples.path,
+	});
 }
 
 function getWarmConnections(loads: readonly RankLoad[], poolCount: number): number {
@@ -126,11 +116,13 @@
 	const context = createContext(fleet, startAt);
 	const injected = experiment.inject?.(context);
 	await context.waitUntil(warmUp);
-	const countsBefore = sumCounts((await fleet.getReadCounts()).values());
+	const readsBefore = await fleet.getReadCounts();
+	const countsBefore = sumCounts(readsBefore.values());
 	await injected;
 	await context.waitUntil(duration);
 	const {records: allRecords, missedOwnWrites} = await workers.finish();
-	const countsAfter = sumCounts([...(await fleet.getReadCounts()).values(), ...context.lostCounts]);
+	const readsAfter = await fleet.getReadCounts();
+	const countsAfter = sumCounts([...readsAfter.values(), ...context.lostCounts]);
 	const records = allRecords.filter(({arrival}) => arrival >= warmUp);
 	const ranks = getAllRankFigures(records, contract.ranks);
 	const primaryReads = countsAfter.primaryReads - countsBefore.primaryReads;
