--- a/packages/bench/src/fleet/network-control.ts
+++ b/packages/bench/src/fleet/network-control.ts
@@ -16,6 +16,15 @@
 	readonly resetAfterResponseBytes?: number;
 };
 
+/** Payload that one process sent to another one. */
+export type NetworkFlow = {
+	readonly from: string;
+	readonly to: string;
+	readonly bytes: number;
+	/** Reads of the relay, about the number of messages while there is little traffic. */
+	readonly chunks: number;
+};
+
 /** Zone of the key-value service and the membership list. */
 export const platformZone = 'platform';
 
@@ -125,6 +134,12 @@
 		return reply.reset as number;
 	}
 
+	/** Returns the bytes that each process sent to each other one since the relay started. */
+	async getTraffic(): Promise<NetworkFlow[]> {
+		const reply = await callJson('GET', `${this.#url}/traffic`);
+		return reply.flows as NetworkFlow[];
+	}
+
 	/** Ends all faults; the delays between zones remain. */
 	async heal(): Promise<void> {
 		await this.#remove([...this.#faults]);
--- a/packages/stand-ins/src/relay/direction.ts
+++ b/packages/stand-ins/src/relay/direction.ts
@@ -11,11 +11,18 @@
 	readonly chunk: Buffer | undefined;
 };
 
+/** What a direction reports. */
+export type DirectionHandlers = {
+	readonly onReset: () => void;
+	readonly onBytes: (bytes: number) => void;
+};
+
 /** Carries the bytes of one direction of a connection, with delay and partition. */
 export class Direction {
 	readonly #from: Socket;
 	readonly #to: Socket;
 	readonly #onReset: () => void;
+	readonly #onBytes: (bytes: number) => void;
 	readonly #queue: QueuedChunk[] = [];
 	#queuedBytes = 0;
 	#timer: NodeJS.Timeout | undefined;
@@ -26,15 +33,17 @@
 	 * @param from - Socket that is read.
 	 * @param to - Socket that is written.
 	 * @param effect - Present effect of the rules.
-	 * @param onReset - Called when the reset threshold is reached.
+	 * @param handlers - `onReset` is called when the reset threshold is reached, `onBytes` for the bytes that are read.
 	 */
-	constructor(from: Socket, to: Socket, effect: Effect, onReset: () => void) {
+	constructor(from: Socket, to: Socket, effect: Effect, handlers: DirectionHandlers) {
 		this.#from = from;
 		this.#to = to;
 		this.#effect = effect;
 		this.#remainingBytes = effect.resetAfterResponseBytes ?? Infinity;
-		this.#onReset = onReset;
+		this.#onReset = handlers.onReset;
+		this.#onBytes = handlers.onBytes;
 		from.on('data', (chunk: Buffer) => {
+			this.#onBytes(chunk.length);
 			this.#take(chunk);
 		});
 		from.on('end', () => {
--- a/packages/stand-ins/src/relay/relay.ts
+++ b/packages/stand-ins/src/relay/relay.ts
@@ -41,6 +41,7 @@
 	readonly #destinations = new Map<string, Destination>();
 	readonly #sources = new Map<string, Endpoint>();
 	readonly #rules = new Map<string, Rule>();
+	readonly #traffic = new Map<string, {readonly from: string; readonly to: string; bytes: number; chunks: number}>();
 	readonly #connections = new Set<RelayedConnection>();
 	#nextRule = 1;
 
@@ -76,6 +77,7 @@
 			'DELETE /rules': () => this.#removeRules([...this.#rules.keys()]),
 			'POST /reset': () => this.#reset(body),
 			'GET /status': () => this.#getStatus(),
+			'GET /traffic': () => ({flows: [...this.#traffic.values()]}),
 		};
 		const handler = handlers[`${method} ${path}`];
 		if (handler) {
@@ -186,6 +188,14 @@
 		};
 	}
 
+	#countBytes(from: Endpoint, to: Endpoint, bytes: number): void {
+		const key = `${from.name}>${to.name}`;
+		const flow = this.#traffic.get(key) ?? {from: from.name, to: to.name, bytes: 0, chunks: 0};
+		flow.bytes += bytes;
+		flow.chunks++;
+		this.#traffic.set(key, flow);
+	}
+
 	#accept(client: Socket, destination: Destination): void {
 		const address = client.remoteAddress ?? '';
 		const connection: RelayedConnection = new RelayedConnection({
@@ -195,6 +205,9 @@
 			target: destination.target,
 			localAddress: this.#options.address,
 			getEffect: (from, to) => combineRules(this.#rules.values(), from, to),
+			onBytes: (from, to, bytes) => {
+				this.#countBytes(from, to, bytes);
+			},
 			onClose: () => {
 				this.#connections.delete(connection);
 			},
--- a/packages/stand-ins/src/relay/relayed-connection.ts
+++ b/packages/stand-ins/src/relay/relayed-connection.ts
@@ -13,6 +13,8 @@
 	readonly localAddress: string;
 	/** Combines the rules for a direction. */
 	readonly getEffect: (from: Endpoint, to: Endpoint) => Effect;
+	/** Called for bytes that one end sent to the other. */
+	readonly onBytes: (from: Endpoint, to: Endpoint, bytes: number) => void;
 	readonly onClose: () => void;
 };
 
@@ -70,15 +72,25 @@
 	}
 
 	#open(requestEffect: Effect, responseEffect: Effect): void {
-		const {client, target, localAddress} = this.#options;
+		const {client, target, localAddress, source, destination, onBytes} = this.#options;
 		const [host, port] = target.split(':');
 		const server = connect({
 			host: host!, port: Number(port), localAddress, allowHalfOpen: true, noDelay: true,
 		});
 		this.#server = server;
-		this.#request = new Direction(client, server, requestEffect, () => {});
-		this.#response = new Direction(server, client, responseEffect, () => {
-			this.reset();
+		this.#request = new Direction(client, server, requestEffect, {
+			onReset() {},
+			onBytes(bytes) {
+				onBytes(source, destination, bytes);
+			},
+		});
+		this.#response = new Direction(server, client, responseEffect, {
+			onReset: () => {
+				this.reset();
+			},
+			onBytes(bytes) {
+				onBytes(destination, source, bytes);
+			},
 		});
 		// A refused or reset connection is passed on as a reset.
 		server.on('error', () => {
