Limit the time for receivers and roll-backs

Cause: a receiver that never takes a complete response held its slot for ever, and a roll-back on a stalled instance its permit.

--- a/packages/daemon/src/connection/upstream/upstream-connection.ts
+++ b/packages/daemon/src/connection/upstream/upstream-connection.ts
@@ -183,6 +183,10 @@
 		}
 
 		this.#fail('the connection was closed');
+		if (this.#active) {
+			// The response is complete, but the receiver does not take it.
+			this.#resolveLost(this.#active, 'the receiver did not take the response in time');
+		}
 	}
 
 	async #sendCancel(processID: number, secretKey: number): Promise<void> {
@@ -295,8 +299,14 @@
 			return;
 		}
 
+		if (active) {
+			this.#resolveLost(active, failure);
+		}
+	}
+
+	#resolveLost(active: ActiveRun, failure: string): void {
 		this.#active = undefined;
-		active?.resolve({
+		active.resolve({
 			verdict: Verdict.MayHaveRun,
 			transactionStatus: TransactionStatus.Idle,
 			held: Buffer.alloc(0),
--- a/packages/daemon/src/process/instance-scheduler-transactions.ts
+++ b/packages/daemon/src/process/instance-scheduler-transactions.ts
@@ -93,22 +93,32 @@
 			transaction.connection.close();
 		});
 		await transaction.tail;
-		await rollBack(transaction.connection);
 		timer[Symbol.dispose]();
-		this.end(transaction);
+		await this.rollBack(transaction);
 	}
-}
 
-/**
- * Rolls back the transaction of a connection; closes the connection if that fails.
- *
- * @param connection - Connection on which no unit is in progress.
- */
-export async function rollBack(connection: StatementConnection): Promise<void> {
-	const outcome = await connection.run(serializeQueries('ROLLBACK'), {
-		sink: {async write() {}}, hiddenParseCompletes: [], holdMode: HoldMode.Completion,
-	});
-	if (outcome.transactionStatus !== TransactionStatus.Idle) {
-		connection.close();
+	/**
+	 * Rolls back and gives the connection back.
+	 *
+	 * @param transaction - Transaction of which no unit is in progress.
+	 */
+	async rollBack(transaction: HeldTransaction): Promise<void> {
+		if (transaction.isEnded) {
+			return;
+		}
+
+		const {connection} = transaction;
+		const timer = this.#timerService.schedule(rollbackTimeoutMilliseconds, () => {
+			connection.close();
+		});
+		const outcome = await connection.run(serializeQueries('ROLLBACK'), {
+			sink: {async write() {}}, hiddenParseCompletes: [], holdMode: HoldMode.Completion,
+		});
+		timer[Symbol.dispose]();
+		if (outcome.transactionStatus !== TransactionStatus.Idle) {
+			connection.close();
+		}
+
+		this.end(transaction);
 	}
 }
--- a/packages/daemon/src/process/instance-scheduler-unit-runner.ts
+++ b/packages/daemon/src/process/instance-scheduler-unit-runner.ts
@@ -21,6 +21,9 @@
  */
 const minimumConfirmationMilliseconds = 20;
 
+/** Least time that a receiver gets to take the end of a response, in milliseconds. */
+const minimumReceiveMilliseconds = 1000;
+
 const discardingSink = {async write() {}};
 
 /** Runs statement units on a connection, and confirms the term before their completion is passed on. */
@@ -69,7 +72,7 @@
 	 * @param expectedTerm - Term of the primary when the unit was sent; `undefined` for a read.
 	 */
 	async finish(job: ScheduledRequest, outcome: StatementOutcome, expectedTerm: number | undefined): Promise<UpstreamResult> {
-		const {request, sink} = job;
+		const {request} = job;
 		if (outcome.verdict !== Verdict.Ran) {
 			return this.#getLost(job, outcome);
 		}
@@ -81,7 +84,7 @@
 
 		const hasEffect = outcome.committed || (isAutocommitWrite && outcome.sqlState === undefined);
 		if (!hasEffect) {
-			await pass(sink, outcome.held);
+			await this.#pass(job, outcome.held);
 			return getRan(outcome);
 		}
 
@@ -90,7 +93,7 @@
 			return getOutcomeUnknown(`the term was not confirmed: ${position.error}`, outcome.transactionStatus);
 		}
 
-		await pass(sink, outcome.held);
+		await this.#pass(job, outcome.held);
 		return getRan(outcome, position.value);
 	}
 
@@ -184,7 +187,7 @@
 			return getOutcomeUnknown(`the term was not confirmed: ${position.error}`);
 		}
 
-		await pass(job.sink, stored);
+		await this.#pass(job, stored);
 		return getRan(answer, position.value);
 	}
 
@@ -208,6 +211,24 @@
 		});
 	}
 
+	/** Passes on withheld messages. A receiver that does not take them keeps no slot, but must not keep the request either. */
+	async #pass({sink, givenUpAt}: ScheduledRequest, messages: Buffer): Promise<void> {
+		if (messages.length === 0) {
+			return;
+		}
+
+		const {timerService} = this.#options;
+		const controller = new AbortController();
+		const limit = Math.max(minimumReceiveMilliseconds, givenUpAt - timerService.now());
+		try {
+			await Promise.race([sink.write(messages), timerService.sleep(limit, controller.signal)]);
+		} catch {
+			// The receiver is gone. The result still tells what happened.
+		} finally {
+			controller.abort();
+		}
+	}
+
 	#getLost(job: ScheduledRequest, outcome: StatementOutcome): UpstreamResult {
 		const message = outcome.failure ?? 'the connection was lost';
 		const isHarmless = outcome.verdict === Verdict.NotRun
@@ -225,15 +246,3 @@
 	const split = new BackendMessageReader().push(messages).unwrapOr([]);
 	return split.find(message => message[0] === BackendMessageType.ErrorResponse) ?? Buffer.alloc(0);
 }
-
-async function pass(sink: ScheduledRequest['sink'], messages: Buffer): Promise<void> {
-	if (messages.length === 0) {
-		return;
-	}
-
-	try {
-		await sink.write(messages);
-	} catch {
-		// The receiver is gone. The result still tells what happened.
-	}
-}
--- a/packages/daemon/src/process/instance-scheduler.ts
+++ b/packages/daemon/src/process/instance-scheduler.ts
@@ -12,7 +12,7 @@
 import {StatementGuard} from '../request/scheduling/statement-guard.js';
 import {type InstanceSchedulerOptions, type ScheduledRequest} from './instance-scheduler-options.js';
 import {connectionRefusals, getNotRun, getOutcomeUnknown} from './instance-scheduler-results.js';
-import {rollBack, TransactionTable, type HeldTransaction} from './instance-scheduler-transactions.js';
+import {TransactionTable, type HeldTransaction} from './instance-scheduler-transactions.js';
 import {UnitRunner} from './instance-scheduler-unit-runner.js';
 
 /** Interval at which the limits follow the reported slots and the service times, in milliseconds. */
@@ -387,14 +387,14 @@
 			: undefined;
 		slot.release(outcome.verdict === Verdict.Ran);
 		if (keyRefusal) {
-			await this.#endByRollback(transaction);
+			await this.#transactions.rollBack(transaction);
 			return getNotRun(keyRefusal);
 		}
 
 		if (outcome.transactionStatus === TransactionStatus.Idle) {
 			this.#transactions.end(transaction);
 		} else if (job.signal.aborted) {
-			await this.#endByRollback(transaction);
+			await this.#transactions.rollBack(transaction);
 			return this.#runner.finish(job, {...outcome, transactionStatus: TransactionStatus.Idle}, term);
 		}
 
@@ -412,14 +412,6 @@
 			: {reason: RefusalReason.NoUpstream, message: `the idempotency key was not stored: ${reserved.sqlState ?? reserved.failure ?? ''}`};
 	}
 
-	/** Rolls back from within a unit of the transaction. */
-	async #endByRollback(transaction: HeldTransaction): Promise<void> {
-		if (!transaction.isEnded) {
-			await rollBack(transaction.connection);
-			this.#transactions.end(transaction);
-		}
-	}
-
 	async #abandon(transaction: HeldTransaction): Promise<void> {
 		await this.#transactions.abandon(transaction);
 		this.#checkIdle();
--- a/packages/daemon/tests/process/instance-scheduler.test.ts
+++ b/packages/daemon/tests/process/instance-scheduler.test.ts
@@ -274,6 +274,20 @@
 	});
 });
 
+describe('InstanceScheduler with a receiver that does not take the response', () => {
+	it.each([
+		{text: 'rows 1 10', guards: 'a slot that is held for ever behind a complete response'},
+		{text: 'rows 5000 1000', guards: 'a slot that is held for ever behind a response in progress'},
+	])('ends "$text" after its time limit, against $guards', async ({text}) => {
+		await using harness = await createHarness({slots: 1});
+		const stuck = {write: () => new Promise<void>(() => {})};
+		const result = await harness.scheduler.submit(createRequest(text, {targetMilliseconds: 50, timeoutMilliseconds: 50}), stuck, neverAborted);
+		expect(result).toMatchObject({verdict: Verdict.MayHaveRun, refusal: {reason: RefusalReason.OutcomeUnknown}});
+		const next = await harness.scheduler.submit(createRequest('rows 1 1'), createSink().sink, neverAborted);
+		expect(next.verdict).toBe(Verdict.Ran);
+	});
+});
+
 describe('InstanceScheduler with transactions', () => {
 	const transaction = {kind: RequestKind.Transaction, transactionIdentifier: 'transaction-1'};
 
