Roll back transactions of lost hosts and let a starting host join first

Cause: the signal of a request covers only one unit, so a transaction whose entry host died between two units kept its upstream connection for ever. A starting host whose peers did not know it yet took itself for the only host and opened connections to every instance (seen in the first trial fleet).

Change: the gateway records open transactions by entry host and abandons them when the last link to the host is lost. A starting host owns nothing until a peer accepts it, the list shows no other host, or 3 s have passed.

--- a/packages/daemon/src/connection/gateway/peer-upstream-gateway.ts
+++ b/packages/daemon/src/connection/gateway/peer-upstream-gateway.ts
@@ -4,7 +4,7 @@
 } from '@tarragonstack/core';
 import {type InstanceExecutor, type UpstreamGateway} from '../../request/instance-executor.js';
 import {createNotRunResult} from '../../request/routing/refusals.js';
-import {PeerMessageKind, type PeerError, type PeerNetwork} from '../peer-network.js';
+import {PeerMessageKind, type PeerCallContext, type PeerError, type PeerNetwork} from '../peer-network.js';
 import {ChunkAssembler, splitIntoChunks} from './chunk-assembler.js';
 import {identifierSchema, upstreamRequestSchema, upstreamResultSchema} from './upstream-messages.js';
 
@@ -24,11 +24,16 @@
 	readonly localExecutor: InstanceExecutor;
 	readonly peerNetwork: PeerNetwork;
 	readonly metrics: Metrics;
+	/** Subscribes to the loss of the last link to a peer. */
+	readonly subscribeToLostPeers: (listener: (host: string) => void) => Disposable;
 };
 
 /** Sends requests to the owner of an instance: to the local executor or over a peer link. */
-export class PeerUpstreamGateway implements UpstreamGateway {
+export class PeerUpstreamGateway implements UpstreamGateway, Disposable {
 	readonly #options: PeerUpstreamGatewayOptions;
+	/** Open transactions on this host's instances, by the entry host that began them. */
+	readonly #transactionsOfPeers = new Map<string, Set<string>>();
+	#subscription: Disposable | undefined;
 
 	/**
 	 * @param options - What the gateway depends on.
@@ -39,7 +44,10 @@
 
 	/** Registers the handlers for the requests of other hosts. */
 	register(): void {
-		const {localExecutor, peerNetwork} = this.#options;
+		const {localExecutor, peerNetwork, subscribeToLostPeers} = this.#options;
+		this.#subscription = subscribeToLostPeers(host => {
+			this.#abandonTransactionsOf(host);
+		});
 		peerNetwork.handle(PeerMessageKind.SubmitRequest, async (body, context) => {
 			const request = upstreamRequestSchema.parse(body);
 			const sink: ResponseSink = {
@@ -49,7 +57,9 @@
 					}
 				},
 			};
-			return localExecutor.submit(request, sink, context.signal);
+			const result = await localExecutor.submit(request, sink, context.signal);
+			this.#recordTransaction(context, request, result);
+			return result;
 		});
 		peerNetwork.handle(PeerMessageKind.CancelRequest, async body => {
 			localExecutor.cancel(identifierSchema.parse(body).identifier);
@@ -89,6 +99,36 @@
 		}
 	}
 
+	/** Ends the subscription to lost peers. */
+	[Symbol.dispose](): void {
+		this.#subscription?.[Symbol.dispose]();
+	}
+
+	/** The signal of a request ends with the request, so the loss of a peer between two units has to be noticed here. */
+	#recordTransaction({peer, signal}: PeerCallContext, {transactionIdentifier}: UpstreamRequest, {transactionStatus}: UpstreamResult): void {
+		if (transactionIdentifier === undefined) {
+			return;
+		}
+
+		const transactions = this.#transactionsOfPeers.get(peer) ?? new Set();
+		if (transactionStatus === TransactionStatus.Idle) {
+			transactions.delete(transactionIdentifier);
+		} else if (signal.aborted) {
+			this.#options.localExecutor.abandonTransaction(transactionIdentifier);
+		} else {
+			transactions.add(transactionIdentifier);
+			this.#transactionsOfPeers.set(peer, transactions);
+		}
+	}
+
+	#abandonTransactionsOf(host: string): void {
+		for (const identifier of this.#transactionsOfPeers.get(host) ?? []) {
+			this.#options.localExecutor.abandonTransaction(identifier);
+		}
+
+		this.#transactionsOfPeers.delete(host);
+	}
+
 	async #submitToPeer(ownerHost: string, request: UpstreamRequest, sink: ResponseSink, signal: AbortSignal): Promise<UpstreamResult> {
 		const assembler = new ChunkAssembler();
 		let hasWritten = false;
--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -5,7 +5,7 @@
 import {CallerListener} from '../connection/caller/index.js';
 import {PostgresInstanceControl} from '../connection/control/index.js';
 import {PeerUpstreamGateway, ReadIndexService} from '../connection/gateway/index.js';
-import {PeerKeys, TcpPeerNetwork} from '../connection/peer/index.js';
+import {PeerExperience, PeerKeys, TcpPeerNetwork} from '../connection/peer/index.js';
 import {UpstreamConnection, UpstreamPool} from '../connection/upstream/index.js';
 import {
 	GroupMonitor, InstanceControlDirectory, MajorityTermConfirmation, Promoter,
@@ -152,7 +152,15 @@
 		});
 		this.#executors = this.#createExecutors();
 		this.#gateway = new PeerUpstreamGateway({
-			ownName: settings.host.name, localExecutor: this.#executors, peerNetwork: this.#network, metrics: this.#metrics,
+			ownName: settings.host.name,
+			localExecutor: this.#executors,
+			peerNetwork: this.#network,
+			metrics: this.#metrics,
+			subscribeToLostPeers: listener => this.#network.subscribeToExperiences((host, experience) => {
+				if (experience !== PeerExperience.Connected) {
+					listener(host);
+				}
+			}),
 		});
 		this.#readIndexService = this.#createReadIndexService();
 		this.#listener = this.#createListener();
@@ -220,6 +228,7 @@
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#promoter[Symbol.dispose]();
 		this.#readIndexService[Symbol.dispose]();
+		this.#gateway[Symbol.dispose]();
 		await this.#listener[Symbol.asyncDispose]();
 		await this.#admin[Symbol.asyncDispose]();
 		await this.#executors[Symbol.asyncDispose]();
--- a/packages/daemon/src/process/host-directory.ts
+++ b/packages/daemon/src/process/host-directory.ts
@@ -1,6 +1,8 @@
 /** State of a host as this host believes it. */
 export enum HostState {
 	Live = 'live',
+	/** Only this host itself: it has started and no peer has accepted it yet. It owns no instance. */
+	Joining = 'joining',
 	/** The host finishes its work and owns no instance. */
 	Leaving = 'leaving',
 	/** The host does not answer. */
--- a/packages/daemon/src/process/membership/fleet-directory.ts
+++ b/packages/daemon/src/process/membership/fleet-directory.ts
@@ -35,6 +35,12 @@
 const listPauseMilliseconds = 2000;
 const listTimeoutMilliseconds = 2000;
 
+/**
+ * Time after which a starting host owns instances although no peer has accepted it, in milliseconds. Peers refuse a host
+ * until the list shows it. Without the wait it would take itself for the only host and open connections to every instance.
+ */
+const joinTimeoutMilliseconds = 3000;
+
 /** Time after which an unreachable host that the list does not show is forgotten, in milliseconds. */
 const forgetAfterMilliseconds = 600_000;
 
@@ -129,6 +135,8 @@
 	#pulseRequested = false;
 	#nextListAt = 0;
 	#lastListAt = Number.NEGATIVE_INFINITY;
+	#hasJoined = false;
+	#joinDeadline = Number.POSITIVE_INFINITY;
 	#stopped = false;
 
 	/**
@@ -165,6 +173,11 @@
 		}
 
 		this.#lastTickAt = timerService.now();
+		this.#joinDeadline = this.#lastTickAt + joinTimeoutMilliseconds;
+		if (!this.#options.membershipList && this.#records.size === 1) {
+			this.#join();
+		}
+
 		this.#nextRoundAt = this.#lastTickAt + (this.#random() * getHeartbeatInterval(this.#records.size));
 		this.#nextListAt = this.#lastTickAt;
 		this.#subscriptions.push(timerService.subscribe(tickMilliseconds, () => {
@@ -186,7 +199,8 @@
 		}
 
 		const {availabilityZone, peerAddress} = stored.record;
-		const state = this.#getState(stored.record);
+		const isJoining = name === this.ownName && !this.#hasJoined && stored.record.state === HostState.Live;
+		const state = isJoining ? HostState.Joining : this.#getState(stored.record);
 		return {
 			name,
 			availabilityZone,
@@ -255,6 +269,10 @@
 		const now = this.#options.timerService.now();
 		this.#detectPause(now);
 		this.#lastTickAt = now;
+		if (now >= this.#joinDeadline) {
+			this.#join();
+		}
+
 		const interval = getHeartbeatInterval(this.#records.size);
 		if (now >= this.#nextRoundAt) {
 			this.#nextRoundAt = now + interval - Math.min(tickMilliseconds, now - this.#nextRoundAt);
@@ -422,6 +440,7 @@
 		neighbour.received = sent;
 		// A process that has just started ignores acknowledgements of what its predecessor sent.
 		neighbour.acknowledged = acknowledged <= neighbour.sent ? acknowledged : 0;
+		this.#join();
 		for (const entry of entries) {
 			const received = fromHostEntry(entry);
 			this.#merge(received);
@@ -489,6 +508,13 @@
 		return this.#monitored;
 	}
 
+	#join(): void {
+		if (!this.#hasJoined) {
+			this.#hasJoined = true;
+			this.#notify();
+		}
+	}
+
 	#notify(): void {
 		for (const listener of this.#listeners) {
 			listener();
@@ -511,6 +537,10 @@
 
 	#takeList(members: readonly Member[]): void {
 		this.#listAddresses.clear();
+		if (members.every(({name}) => name === this.ownName) && this.#records.size === 1) {
+			this.#join();
+		}
+
 		let changed = false;
 		for (const member of members) {
 			this.#listAddresses.set(member.name, member.address);
--- a/packages/daemon/src/process/membership/host-record.ts
+++ b/packages/daemon/src/process/membership/host-record.ts
@@ -3,6 +3,7 @@
 
 /** Numbers of the states in messages. At the same incarnation, the greater number takes precedence. */
 const stateNumbers: Readonly<Record<HostState, number>> = {
+	[HostState.Joining]: 0,
 	[HostState.Live]: 0,
 	[HostState.Leaving]: 1,
 	[HostState.Unreachable]: 2,
--- a/packages/daemon/tests/connection/gateway/peer-upstream-gateway.test.ts
+++ b/packages/daemon/tests/connection/gateway/peer-upstream-gateway.test.ts
@@ -28,10 +28,18 @@
 			handlers.set(kind, handler);
 		},
 	};
+	const lostPeerListeners: Array<(host: string) => void> = [];
 	const gateway = new PeerUpstreamGateway({
-		ownName: 'self', localExecutor: localExecutor as InstanceExecutor, peerNetwork, metrics: createMetrics(),
+		ownName: 'self',
+		localExecutor: localExecutor as InstanceExecutor,
+		peerNetwork,
+		metrics: createMetrics(),
+		subscribeToLostPeers(listener) {
+			lostPeerListeners.push(listener);
+			return {[Symbol.dispose]() {}};
+		},
 	});
-	return {gateway, handlers};
+	return {gateway, handlers, lostPeerListeners};
 }
 
 async function submit(gateway: PeerUpstreamGateway, change: Partial<UpstreamRequest>) {
@@ -85,6 +93,26 @@
 		expect(result).toMatchObject({verdict: Verdict.NotRun, refusal: {reason: RefusalReason.TooLong}});
 	});
 
+	it.each([
+		{guards: 'a transaction that keeps its connection after its host died', status: TransactionStatus.InTransaction, lost: 'p', abandoned: ['t1']},
+		{guards: 'a rollback because another host died', status: TransactionStatus.InTransaction, lost: 'q', abandoned: []},
+		{guards: 'a rollback of a transaction that ended', status: TransactionStatus.Idle, lost: 'p', abandoned: []},
+	])('guards against $guards', async ({status, lost, abandoned}) => {
+		const seen: string[] = [];
+		const {gateway, handlers, lostPeerListeners} = createGateway(notSent, {
+			submit: async () => ({verdict: Verdict.Ran, transactionStatus: status}),
+			abandonTransaction(identifier) {
+				seen.push(identifier);
+			},
+		});
+		gateway.register();
+		const context = {peer: 'p', signal: new AbortController().signal, async write() {}};
+		const unit = {...request, kind: RequestKind.Transaction, transactionIdentifier: 't1', beginsTransaction: true};
+		await handlers.get(PeerMessageKind.SubmitRequest)!(unit, context);
+		lostPeerListeners[0]!(lost);
+		expect(seen).toEqual(abandoned);
+	});
+
 	it('rejects a malformed request of a peer before the executor sees it', async () => {
 		const {gateway, handlers} = createGateway(lost);
 		gateway.register();
--- a/xo.config.js
+++ b/xo.config.js
@@ -31,6 +31,8 @@
 			'n/prefer-global/process': 'off',
 			'@typescript-eslint/no-restricted-types': 'off',
 			'@typescript-eslint/no-empty-function': 'off',
+			// Contradicts @typescript-eslint/return-await, which demands `await` in `await using` and `try` blocks.
+			'no-return-await': 'off',
 			'@stylistic/curly-newline': 'off',
 			'unicorn/no-useless-undefined': 'off',
 			'unicorn/prevent-abbreviations': 'off',
@@ -49,6 +51,7 @@
 			'@typescript-eslint/no-unsafe-argument': 'off',
 			'@typescript-eslint/no-unsafe-return': 'off',
 			'@typescript-eslint/restrict-plus-operands': 'off',
+			'unicorn/no-await-expression-member': 'off',
 			// The test runner is a development dependency of the workspace root.
 			'import-x/no-extraneous-dependencies': 'off',
 			'n/no-extraneous-import': 'off',
