--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -1,6 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import os from 'node:os';
+import {rm, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import {
 	configurationKey, configurationSchema, defaultServiceNames, MemberKind, SystemTimerService,
@@ -14,6 +13,7 @@
 import {LoopbackRange} from './loopback-range.js';
 import {ManagedProcess, type ReadyLine} from './managed-process.js';
 import {clientZone, NetworkControl, platformZone} from './network-control.js';
+import {createTemporaryDirectory} from './temporary-directory.js';
 
 const standInsScript = getCompiledPath('@tarragonstack/stand-ins', 'main.js');
 const daemonScript = getCompiledPath('@tarragonstack/daemon', 'main.js');
@@ -92,7 +92,7 @@
 	 */
 	static async start(options: FleetOptions): Promise<Fleet> {
 		const range = await LoopbackRange.acquire(options.seed);
-		const directory = await mkdtemp(path.join(os.tmpdir(), 'tarragon-fleet-'));
+		const directory = await createTemporaryDirectory();
 		const fleet = new Fleet(options, range, directory);
 		try {
 			await fleet.#start();
--- a/packages/bench/src/fleet/index.ts
+++ b/packages/bench/src/fleet/index.ts
@@ -5,3 +5,4 @@
 export * from './loopback-range.js';
 export * from './managed-process.js';
 export * from './network-control.js';
+export * from './temporary-directory.js';
