--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -281,6 +281,7 @@
 			termConfirmation: this.#confirmation,
 			timerService: this.#timerService,
 			policy: this.#settings.schedulingPolicy as SchedulingPolicy,
+			metrics: this.#metrics,
 			createPool: ({instance}) => this.#createPool(instance),
 			refreshStatus: async ({group, instance}) => {
 				const status = await this.#controls.getControl(instance.name)?.status({timeoutMilliseconds: statusTimeoutMilliseconds});
--- a/packages/daemon/src/process/instance-scheduler-options.ts
+++ b/packages/daemon/src/process/instance-scheduler-options.ts
@@ -1,5 +1,5 @@
 import {
-	type Logger, type ResponseSink, type TimerService, type UpstreamRequest,
+	type Logger, type Metrics, type ResponseSink, type TimerService, type UpstreamRequest,
 } from '@tarragonstack/core';
 import {type GroupView} from '../request/group-view.js';
 import {type SchedulingPolicy} from '../request/scheduling/scheduling-policy.js';
@@ -22,6 +22,7 @@
 	readonly logger?: Logger;
 	/** Asks the instance for its status, for requests that wait for a log position. */
 	readonly refreshStatus?: () => Promise<void>;
+	readonly metrics?: Metrics;
 	/** Statements dispatched beyond the slots, so that a slot does not stay empty for a round trip. */
 	readonly extraStatements?: number;
 	readonly maximumQueueEntries?: number;
--- a/packages/daemon/src/process/instance-scheduler.ts
+++ b/packages/daemon/src/process/instance-scheduler.ts
@@ -1,5 +1,5 @@
 import {
-	RefusalReason, RequestKind, TransactionStatus, Verdict,
+	MetricName, RefusalReason, RequestKind, TransactionStatus, Verdict,
 	type Refusal, type ResponseSink, type UpstreamLoad, type UpstreamRequest, type UpstreamResult,
 } from '@tarragonstack/core';
 import {type Result} from 'neverthrow';
@@ -12,7 +12,7 @@
 import {StatementGuard} from '../request/scheduling/statement-guard.js';
 import {type InstanceSchedulerOptions, type ScheduledRequest} from './instance-scheduler-options.js';
 import {connectionRefusals, getNotRun, getOutcomeUnknown} from './instance-scheduler-results.js';
-import {rollBack, TransactionTable, type HeldTransaction} from './instance-scheduler-transactions.js';
+import {TransactionTable, type HeldTransaction} from './instance-scheduler-transactions.js';
 import {UnitRunner} from './instance-scheduler-unit-runner.js';
 
 /** Interval at which the limits follow the reported slots and the service times, in milliseconds. */
@@ -299,6 +299,13 @@
 			return getNotRun(connectionRefusals[connection.error]);
 		}
 
+		if (job.signal.aborted || this.#options.timerService.now() >= job.givenUpAt) {
+			// Nobody waits any more, and nothing was sent yet.
+			slot.value.release(false);
+			this.#options.pool.release(connection.value);
+			return getNotRun({reason: RefusalReason.DeadlineExceeded, message: 'the request was given up before the start'});
+		}
+
 		let isFinished = false;
 		const finishSlot = (isMeasured: boolean) => {
 			if (!isFinished) {
@@ -380,14 +387,14 @@
 			: undefined;
 		slot.release(outcome.verdict === Verdict.Ran);
 		if (keyRefusal) {
-			await this.#endByRollback(transaction);
+			await this.#transactions.rollBack(transaction);
 			return getNotRun(keyRefusal);
 		}
 
 		if (outcome.transactionStatus === TransactionStatus.Idle) {
 			this.#transactions.end(transaction);
 		} else if (job.signal.aborted) {
-			await this.#endByRollback(transaction);
+			await this.#transactions.rollBack(transaction);
 			return this.#runner.finish(job, {...outcome, transactionStatus: TransactionStatus.Idle}, term);
 		}
 
@@ -405,14 +412,6 @@
 			: {reason: RefusalReason.NoUpstream, message: `the idempotency key was not stored: ${reserved.sqlState ?? reserved.failure ?? ''}`};
 	}
 
-	/** Rolls back from within a unit of the transaction. */
-	async #endByRollback(transaction: HeldTransaction): Promise<void> {
-		if (!transaction.isEnded) {
-			await rollBack(transaction.connection);
-			this.#transactions.end(transaction);
-		}
-	}
-
 	async #abandon(transaction: HeldTransaction): Promise<void> {
 		await this.#transactions.abandon(transaction);
 		this.#checkIdle();
@@ -425,7 +424,9 @@
 
 	async #acquireSlot(job: ScheduledRequest, isContinuation: boolean): Promise<Result<Slot, Refusal>> {
 		const {request, lateAt, givenUpAt, signal} = job;
-		return this.#queue.acquire({
+		const {timerService, metrics} = this.#options;
+		const queuedAt = timerService.now();
+		const slot = await this.#queue.acquire({
 			customer: request.customer,
 			customerWeight: request.customerWeight,
 			rank: request.rank,
@@ -438,6 +439,8 @@
 			givenUpAt,
 			isContinuation,
 		}, signal);
+		metrics?.histogram(MetricName.QueueWait, timerService.now() - queuedAt, {customer: request.customer, rank: request.rank});
+		return slot;
 	}
 
 	#getConnectionTimeout(job: ScheduledRequest): number {
