--- a/packages/bench/src/slopes/measure-slopes.ts
+++ b/packages/bench/src/slopes/measure-slopes.ts
@@ -79,7 +79,7 @@
 
 async function measureHosts(options: SlopeOptions, hostCount: number): Promise<SlopePoint> {
 	await using fleet = await Fleet.start({...options, deployment: {...options.deployment, hostCount}});
-	return measureAtRest(fleet, hostCount);
+	return await measureAtRest(fleet, hostCount);
 }
 
 async function measureGroups({deployment, contracts}: SlopeOptions, groupCount: number): Promise<SlopePoint> {
@@ -88,7 +88,7 @@
 		deployment: {...deployment, groups},
 		contracts: contracts.map(contract => ({...contract, groups})),
 	});
-	return measureAtRest(fleet, groupCount);
+	return await measureAtRest(fleet, groupCount);
 }
 
 async function measureContracts(options: SlopeOptions, contractCount: number): Promise<SlopePoint> {
@@ -99,7 +99,7 @@
 		users: template!.users.map(user => ({...user, name: index === 0 ? user.name : `${user.name}-${index}`})),
 	}));
 	await using fleet = await Fleet.start({...options, contracts});
-	return measureAtRest(fleet, contractCount);
+	return await measureAtRest(fleet, contractCount);
 }
 
 async function measureConnections(options: SlopeOptions, connectionCount: number): Promise<SlopePoint> {
