--- a/xo.config.js
+++ b/xo.config.js
@@ -42,7 +42,7 @@
 		},
 	},
 	{
-		files: ['**/tests/**/*.ts', 'vitest.config.ts'],
+		files: ['**/tests/**/*.ts', 'vitest.config.ts', 'vitest.setup.ts'],
 		rules: {
 			'max-lines': 'off',
 			'@typescript-eslint/no-unsafe-assignment': 'off',
