Give the test of changed slots room for a busy machine

Cause: at a load average of 45 the test failed once in a run of the suite: its limits of 200 ms and 240 ms of wall-clock time lay 100 ms or less below the 300 ms that it must rule out.

Change: statements take 300 ms, so that the time without the change is at least 1800 ms; the test demands less than 1750 ms. It still fails exactly when the setting has no effect.

--- a/packages/stand-ins/tests/instance/database-instance.test.ts
+++ b/packages/stand-ins/tests/instance/database-instance.test.ts
@@ -293,16 +293,16 @@
 	});
 
 	it.each([
-		{guards: 'a changed number of slots', settings: {slots: 6}, limit: 100},
-		{guards: 'a service time factor', settings: {serviceTimeFactor: 0.1}, limit: 140},
-	])('applies $guards', async ({settings, limit}) => {
+		{guards: 'a changed number of slots', settings: {slots: 6}},
+		{guards: 'a service time factor', settings: {serviceTimeFactor: 0.1}},
+	])('applies $guards', async ({settings}) => {
 		const primary = await startPrimary({slots: 1});
 		await control(primary, settings);
 		const clients = await Promise.all(Array.from({length: 6}, async () => connect(primary.database)));
 		const before = timerService.now();
-		await Promise.all(clients.map(async client => client.query('/*service_ms=50*/ SELECT 1')));
-		// Without the change, six statements of 50 ms in one slot take 300 ms.
-		expect(timerService.now() - before).toBeLessThan(limit + 100);
+		await Promise.all(clients.map(async client => client.query('/*service_ms=300*/ SELECT 1')));
+		// Without the change, six statements of 300 ms in one slot take at least 1800 ms.
+		expect(timerService.now() - before).toBeLessThan(1750);
 	});
 });
 
