Read only leaving upstreams from the membership list each second

Change: the query names the kind and the state, and the service filters. The directory reads hosts only. The fake list of a test honours the kind now; its check is unchanged.

--- a/packages/core/src/adapters/consul-membership-list.ts
+++ b/packages/core/src/adapters/consul-membership-list.ts
@@ -2,7 +2,7 @@
 import {Pool} from 'undici';
 import {z} from 'zod';
 import {
-	MemberKind, MemberState, type Member, type MembershipList,
+	MemberKind, MemberState, type Member, type MemberQuery, type MembershipList,
 } from './membership-list.js';
 
 /** Greatest size of a reply, in bytes: about 2,000 entries. */
@@ -65,11 +65,10 @@
 	}
 
 	/** @inheritdoc */
-	async getMembers(timeoutMilliseconds: number): Promise<Result<readonly Member[], string>> {
+	async getMembers(query: MemberQuery, timeoutMilliseconds: number): Promise<Result<readonly Member[], string>> {
 		try {
 			const signal = AbortSignal.timeout(timeoutMilliseconds);
-			const members = await Promise.all(Object.values(MemberKind).map(kind => this.#read(kind, signal)));
-			return ok(members.flat());
+			return ok(await this.#read(query, signal));
 		} catch (error) {
 			return err(`the membership list could not be read: ${error instanceof Error ? error.message : String(error)}`);
 		}
@@ -79,8 +78,9 @@
 		await this.#pool.destroy();
 	}
 
-	async #read(kind: MemberKind, signal: AbortSignal): Promise<Member[]> {
-		const response = await this.#pool.request({path: `/v1/health/service/${encodeURIComponent(this.#services[kind])}`, method: 'GET', signal});
+	async #read({kind, state}: MemberQuery, signal: AbortSignal): Promise<Member[]> {
+		const query = state === undefined ? {} : {filter: `Service.Meta.state == "${state}"`};
+		const response = await this.#pool.request({path: `/v1/health/service/${encodeURIComponent(this.#services[kind])}`, method: 'GET', query, signal});
 		const chunks: Buffer[] = [];
 		let length = 0;
 		for await (const chunk of response.body as AsyncIterable<Buffer>) {
--- a/packages/core/src/adapters/membership-list.ts
+++ b/packages/core/src/adapters/membership-list.ts
@@ -24,12 +24,23 @@
 	readonly state: MemberState;
 };
 
+/** Selects members of the list. */
+export type MemberQuery = {
+	readonly kind: MemberKind;
+	/**
+	 * Returns only members whose metadata name this state. The service filters them, so that the reply of a frequent query
+	 * does not grow with the fleet.
+	 */
+	readonly state?: MemberState;
+};
+
 /** The platform's list of live and leaving members. It lags behind the truth. */
 export type MembershipList = AsyncDisposable & {
 	/**
-	 * Reads the list.
+	 * Reads a part of the list.
 	 *
+	 * @param query - Members to return.
 	 * @param timeoutMilliseconds - Time after which the call fails.
 	 */
-	getMembers(timeoutMilliseconds: number): Promise<Result<readonly Member[], string>>;
+	getMembers(query: MemberQuery, timeoutMilliseconds: number): Promise<Result<readonly Member[], string>>;
 };
--- a/packages/core/tests/adapters/consul-membership-list.test.ts
+++ b/packages/core/tests/adapters/consul-membership-list.test.ts
@@ -32,7 +32,7 @@
 			response.end(JSON.stringify(path === '/v1/health/service/tarragon-host' ? entries : []));
 		});
 		await using list = new ConsulMembershipList({url: fake.url});
-		expect(await takeValue(list.getMembers(1000))).toEqual(members);
+		expect(await takeValue(list.getMembers({kind: MemberKind.Host}, 1000))).toEqual(members);
 	});
 
 	it.each([
@@ -46,6 +46,6 @@
 			}
 		});
 		await using list = new ConsulMembershipList({url: fake.url});
-		expect(await isRefused(list.getMembers(200))).toBe(true);
+		expect(await isRefused(list.getMembers({kind: MemberKind.Host}, 200))).toBe(true);
 	});
 });
--- a/packages/daemon/src/process/membership/fleet-directory.ts
+++ b/packages/daemon/src/process/membership/fleet-directory.ts
@@ -522,7 +522,7 @@
 	}
 
 	async #readList(list: MembershipList): Promise<void> {
-		const members = await list.getMembers(listTimeoutMilliseconds);
+		const members = await list.getMembers({kind: MemberKind.Host}, listTimeoutMilliseconds);
 		if (this.#stopped) {
 			return;
 		}
@@ -532,7 +532,7 @@
 			return;
 		}
 
-		this.#takeList(members.value.filter(member => member.kind === MemberKind.Host));
+		this.#takeList(members.value);
 	}
 
 	#takeList(members: readonly Member[]): void {
--- a/packages/daemon/src/version/effective-configuration-store.ts
+++ b/packages/daemon/src/version/effective-configuration-store.ts
@@ -75,15 +75,13 @@
 		}
 
 		this.#isReading = true;
-		const members = await this.#options.membershipList.getMembers(listTimeoutMilliseconds);
+		const members = await this.#options.membershipList.getMembers({kind: MemberKind.Upstream, state: MemberState.Leaving}, listTimeoutMilliseconds);
 		this.#isReading = false;
 		if (members.isErr()) {
 			return;
 		}
 
-		const leaving = members.value
-			.filter(({kind, state}) => kind === MemberKind.Upstream && state === MemberState.Leaving)
-			.map(({name}) => name);
+		const leaving = members.value.map(({name}) => name);
 		const hasChanged = leaving.length !== this.#leaving.size || leaving.some(name => !this.#leaving.has(name));
 		if (hasChanged) {
 			this.#leaving = new Set(leaving);
--- a/packages/daemon/tests/process/membership/fleet-directory.test.ts
+++ b/packages/daemon/tests/process/membership/fleet-directory.test.ts
@@ -52,8 +52,8 @@
 
 function createList(members: () => readonly Member[] | undefined): MembershipList {
 	return {
-		async getMembers() {
-			const current = members();
+		async getMembers({kind}) {
+			const current = members()?.filter(member => member.kind === kind);
 			return current ? ok(current) : err('the agent does not answer');
 		},
 		async [Symbol.asyncDispose]() {},
--- a/packages/stand-ins/src/membership/membership-server.ts
+++ b/packages/stand-ins/src/membership/membership-server.ts
@@ -88,7 +88,10 @@
 
 	#getHealth(call: HttpCall, name: string): unknown {
 		call.response.setHeader('x-consul-index', String(this.#index));
-		return [...this.#services.values()].filter(service => service.Service === name).map(service => ({
+		const state = getFilteredState(call.query.get('filter'));
+		const services = [...this.#services.values()]
+			.filter(service => service.Service === name && (state === undefined || service.Meta.state === state));
+		return services.map(service => ({
 			Node: {Node: service.ID, Address: service.Address},
 			Service: service,
 			Checks: [{CheckID: `service:${service.ID}`, Status: 'passing'}],
@@ -135,3 +138,17 @@
 		return {};
 	}
 }
+
+/** Understands the one filter expression that the product uses. */
+function getFilteredState(filter: string | null): string | undefined {
+	if (filter === null) {
+		return undefined;
+	}
+
+	const state = /^Service\.Meta\.state == "(?<state>[a-z]+)"$/v.exec(filter)?.groups?.state;
+	if (state === undefined) {
+		throw new HttpError(400, {error: `Failed to create boolean expression evaluator: ${filter}`});
+	}
+
+	return state;
+}
--- a/packages/stand-ins/tests/membership/membership-server.test.ts
+++ b/packages/stand-ins/tests/membership/membership-server.test.ts
@@ -28,7 +28,7 @@
 		ID: 'host-1', Name: defaultServiceNames[MemberKind.Host], Address: '127.0.0.9', Port: 7000, Meta: {availability_zone: 'oviedo', state},
 	});
 	const getStates = async () => {
-		const members = await list.getMembers(1000);
+		const members = await list.getMembers({kind: MemberKind.Host}, 1000);
 		return members._unsafeUnwrap().map(({name, state}) => `${name} ${state}`);
 	};
 
@@ -39,7 +39,7 @@
 	it('shows a member to the adapter of the product with all fields', async () => {
 		const {list, register} = await start(0);
 		await register('live');
-		const members = await list.getMembers(1000);
+		const members = await list.getMembers({kind: MemberKind.Host}, 1000);
 		expect(members._unsafeUnwrap()).toEqual([{
 			name: 'host-1', kind: MemberKind.Host, availabilityZone: 'oviedo', address: '127.0.0.9:7000', state: MemberState.Live,
 		}]);
@@ -68,10 +68,20 @@
 		expect(timerService.now() - before).toBeGreaterThanOrEqual(199);
 	});
 
+	it.each([
+		{state: 'leaving', expected: ['host-1'], guards: 'a leaving member that the filter hides'},
+		{state: 'live', expected: [], guards: 'a reply that grows with the fleet although no member is leaving'},
+	])('filters by state, against $guards', async ({state, expected}) => {
+		const {list, register} = await start(0);
+		await register(state);
+		const members = await list.getMembers({kind: MemberKind.Host, state: MemberState.Leaving}, 1000);
+		expect(members._unsafeUnwrap().map(({name}) => name)).toEqual(expected);
+	});
+
 	it('fails while it is down', async () => {
 		const {url, list} = await start(0);
 		await fetch(`${url}/control`, {method: 'POST', body: JSON.stringify({outage: true})});
-		const members = await list.getMembers(1000);
+		const members = await list.getMembers({kind: MemberKind.Host}, 1000);
 		expect(members.isErr()).toBe(true);
 	});
 });
