Show version, age and groups in tarragonctl status and refuse patterns that cannot be compiled

Cause: docs/operators.md promises version and age of each host and the state of each group, and status printed GET /health only. A contract whose statementPattern cannot be compiled was accepted, and hosts then treat the rule as matching nothing. Change: status reads GET /status. checkConfiguration reports the path of such a pattern. The unit test of status checks the new output with three hosts instead of the former body of /health.

--- a/packages/control/src/configuration-client.ts
+++ b/packages/control/src/configuration-client.ts
@@ -192,13 +192,13 @@
 		return err(parsed.error.issues.map(issue => `${issue.path.join('.') || 'input'}: ${issue.message}`));
 	}
 
-	const duplicates = listDuplicates(parsed.data);
+	const problems = [...listDuplicates(parsed.data), ...listInvalidPatterns(parsed.data)];
 	const bytes = Buffer.byteLength(JSON.stringify(parsed.data));
 	if (bytes > maximumConfigurationBytes) {
-		duplicates.push(`input: the record has ${bytes} bytes; the key-value service takes ${maximumConfigurationBytes}`);
+		problems.push(`input: the record has ${bytes} bytes; the key-value service takes ${maximumConfigurationBytes}`);
 	}
 
-	return duplicates.length === 0 ? ok(parsed.data) : err(duplicates);
+	return problems.length === 0 ? ok(parsed.data) : err(problems);
 }
 
 /** Hosts look customers, users, groups and instances up by name, so a name must be unique in the record. */
@@ -214,6 +214,19 @@
 		.map(name => `${path}: "${name}" is used more than once`));
 }
 
+/** Hosts treat a pattern that cannot be compiled as one that matches nothing, so the rule would have no effect. */
+function listInvalidPatterns(configuration: Configuration): string[] {
+	return configuration.contracts.flatMap((contract, contractIndex) => contract.rules.flatMap(({statementPattern}, ruleIndex) => {
+		try {
+			// eslint-disable-next-line no-new -- only the syntax is checked, with the flags that hosts use
+			new RegExp(statementPattern ?? '', 'iv');
+			return [];
+		} catch (error) {
+			return [`contracts.${contractIndex}.rules.${ruleIndex}.statementPattern: ${String(error)}`];
+		}
+	}));
+}
+
 function describeConflict(target: Configuration, entry: KeyValueEntry | undefined, known?: Configuration): ChangeOutcome {
 	const parsed = parseEntry(entry);
 	const current = known ?? (parsed.isOk() ? parsed.value.configuration : undefined);
--- a/packages/control/src/host-commands.ts
+++ b/packages/control/src/host-commands.ts
@@ -1,3 +1,4 @@
+import {z} from '@tarragonstack/core';
 import {request as sendRequest} from 'undici';
 import {fail, succeed, type CommandResult} from './command-result.js';
 import {ExitCode} from './exit-code.js';
@@ -12,6 +13,27 @@
 	409: ExitCode.Conflict,
 };
 
+/** Part of `GET /status` that is printed. */
+const statusSchema = z.object({
+	host: z.object({name: z.string()}),
+	health: z.object({accepting: z.boolean(), reason: z.string().optional()}),
+	configuration: z.object({version: z.number(), author: z.string(), inForceForMilliseconds: z.number()}).optional(),
+	groups: z.array(z.object({
+		name: z.string(),
+		primary: z.string().optional(),
+		term: z.number().optional(),
+		instances: z.array(z.object({
+			name: z.string(),
+			role: z.string().optional(),
+			leaving: z.boolean().optional(),
+			position: z.object({term: z.number(), index: z.number()}).optional(),
+			lagEntries: z.number().optional(),
+		})),
+	})).default([]),
+});
+
+type HostStatus = z.infer<typeof statusSchema>;
+
 type HostAnswer = {readonly host: string; readonly status?: number; readonly body?: unknown; readonly error?: string; readonly notSent?: boolean};
 
 /** Commands that ask hosts through their admin ports. */
@@ -21,13 +43,15 @@
 	 */
 	constructor(private readonly hosts: readonly string[]) {}
 
-	/** Prints the health of each host. */
+	/** Prints health, configuration version and its age for each host, and the state of each group. */
 	async status(): Promise<CommandResult> {
-		const answers = await Promise.all(this.hosts.map(async host => request(host, 'GET', '/health')));
-		const lines = answers.map(({host, status, body, error}) => error === undefined
-			? `${host}: status ${status}, ${JSON.stringify(body)}`
-			: `${host}: no answer (${error})`);
-		const failed = answers.filter(({status}) => status !== 200);
+		const answers = await Promise.all(this.hosts.map(async host => request(host, 'GET', '/status')));
+		const statuses = answers.map(({status, body}) => status === 200 ? statusSchema.safeParse(body).data : undefined);
+		const lines = [
+			...answers.map((answer, index) => describeHost(answer, statuses[index])),
+			...describeGroups(statuses.filter(status => status !== undefined)),
+		];
+		const failed = statuses.filter(status => !status?.health.accepting);
 		return failed.length === 0
 			? succeed(lines, {hosts: answers})
 			: {
@@ -67,6 +91,38 @@
 	}
 }
 
+function describeHost(answer: HostAnswer, status: HostStatus | undefined): string {
+	if (!status) {
+		return `${answer.host}: ${answer.error === undefined ? `status ${answer.status}, ${JSON.stringify(answer.body)}` : `no answer (${answer.error})`}`;
+	}
+
+	const {host, health, configuration} = status;
+	const work = health.accepting ? 'accepts work' : `accepts no work (${health.reason ?? 'no reason given'})`;
+	const version = configuration
+		? `version ${configuration.version} by ${configuration.author} in force for ${(configuration.inForceForMilliseconds / 1000).toFixed(1)} s`
+		: 'no configuration version';
+	return `${host.name} ${answer.host}: ${work}, ${version}`;
+}
+
+/** Describes each group as the host with the newest term sees it. */
+function describeGroups(statuses: readonly HostStatus[]): string[] {
+	const groups = new Map<string, HostStatus['groups'][number]>();
+	for (const group of statuses.flatMap(status => status.groups)) {
+		const known = groups.get(group.name);
+		if (!known || (group.term ?? -1) > (known.term ?? -1)) {
+			groups.set(group.name, group);
+		}
+	}
+
+	return [...groups.values()].flatMap(({name, primary, term, instances}) => [
+		`group ${name}: ${primary === undefined ? 'no primary known' : `primary ${primary}, term ${term}`}`,
+		...instances.map(instance => {
+			const position = instance.position ? `position ${instance.position.term}:${instance.position.index}, lag ${instance.lagEntries ?? 'unknown'}` : 'position unknown';
+			return `  ${instance.name}: ${instance.role ?? 'not reached'}, ${position}${instance.leaving ? ', leaving' : ''}`;
+		}),
+	]);
+}
+
 async function request(host: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<HostAnswer> {
 	try {
 		const response = await sendRequest(`http://${host}${path}`, {
--- a/packages/control/tests/run-program.test.ts
+++ b/packages/control/tests/run-program.test.ts
@@ -250,15 +250,31 @@
 		expect(getVersions()).toEqual(getVersions().toSorted((left, right) => left - right));
 	});
 
-	it('prints the health of hosts and fails when one does not answer', async () => {
-		await using host = await HttpFake.start((_path, _body, response) => {
-			response.end('{"state":"live","configurationVersion":3}');
+	it('prints health, version and age of hosts and the newest view of groups, and fails when a host does not answer or accepts no work', async () => {
+		const instances = [{name: 'lavado-db-1', role: 'primary', position: {term: 2, index: 7}, lagEntries: 0}, {name: 'lavado-db-2', leaving: true}];
+		const bodies = [
+			{health: {accepting: true}, groups: [{name: 'lavado-db', primary: 'lavado-db-2', term: 1, instances: []}]},
+			{health: {accepting: true}, groups: [{name: 'lavado-db', primary: 'lavado-db-1', term: 2, instances}]},
+			{health: {accepting: false, reason: 'the host is stopping'}},
+		];
+		const startHost = async (index: number) => HttpFake.start((requestPath, _body, response) => {
+			expect(requestPath).toBe('/status');
+			response.end(JSON.stringify({host: {name: `host-${index}`}, configuration: {version: 3, author: 'ana', inForceForMilliseconds: 4200}, ...bodies[index]}));
 		});
-		const hostAddress = host.url.slice('http://'.length);
-		const healthy = await run(['status', '--host', hostAddress]);
+		await using first = await startHost(0);
+		await using second = await startHost(1);
+		await using third = await startHost(2);
+		const addresses = [first, second, third].map(({url}) => url.slice('http://'.length));
+		const healthy = await run(['status', '--host', addresses[0]!, '--host', addresses[1]!]);
 		expect(healthy).toMatchObject({exitCode: ExitCode.Accepted});
-		expect(healthy.output).toContain('"configurationVersion":3');
-		const partial = await run(['status', '--host', hostAddress, '--host', '127.0.0.1:1']);
+		expect(healthy.output).toContain(`host-0 ${addresses[0]}: accepts work, version 3 by ana in force for 4.2 s`);
+		expect(healthy.output).toContain('group lavado-db: primary lavado-db-1, term 2');
+		expect(healthy.output).toContain('lavado-db-1: primary, position 2:7, lag 0');
+		expect(healthy.output).toContain('lavado-db-2: not reached, position unknown, leaving');
+		const stopping = await run(['status', '--host', addresses[0]!, '--host', addresses[2]!]);
+		expect(stopping.exitCode).toBe(ExitCode.Failure);
+		expect(stopping.errors).toContain('accepts no work (the host is stopping)');
+		const partial = await run(['status', '--host', addresses[0]!, '--host', '127.0.0.1:1']);
 		expect(partial.exitCode).toBe(ExitCode.Failure);
 		expect(partial.errors).toContain('127.0.0.1:1: no answer');
 	});
