--- a/packages/bench/tests/faults/planned-stops.test.ts
+++ b/packages/bench/tests/faults/planned-stops.test.ts
@@ -6,7 +6,7 @@
 
 const timerService = new SystemTimerService();
 
-/** Time after which an upstream that is leaving receives no new work. */
+/** Time after which a leaving upstream gets no new work. */
 const leavingLimitMilliseconds = 3000;
 
 describe('planned stops under load', () => {
