Ask peers before a starting host takes a record of the key-value service

Cause: a host that restarted while the service answered reads with an old value reported that old value until its peers told it of the newer one: host-1, host-2 and host-6 went from version 34 to 33 in configuration-spread.test.ts.

--- a/packages/daemon/src/version/fleet-configuration-store.ts
+++ b/packages/daemon/src/version/fleet-configuration-store.ts
@@ -37,6 +37,9 @@
 /** Lifetime of one watch, in milliseconds. A new watch notices a connection that was lost without a sign. */
 const watchLifetimeMilliseconds = 8000;
 
+/** Name of the key-value service in log lines. */
+const serviceSource = 'key-value service';
+
 const querySchema = z.object({base: z.number().int().nonnegative()});
 const answerSchema = z.object({
 	version: z.number().int().nonnegative(),
@@ -82,6 +85,10 @@
 	/** Aborted when the role of watcher or the need of a first version may have changed. */
 	#roleChange = new AbortController();
 	#isWatcher = false;
+	/** Record of the key-value service that arrived before the peers were asked. */
+	#heldText: string | undefined;
+	#isAskingPeers = false;
+	#hasAskedPeers = false;
 	#subscription: Disposable | undefined;
 	#task: Promise<void> | undefined;
 
@@ -106,10 +113,12 @@
 		this.#subscription = directory.subscribe(() => {
 			this.#updateRole();
 			this.#queryNewerPeers();
+			void this.#askPeersAfterJoining();
 		});
 		this.#updateRole();
 		this.#task = this.#run();
 		void this.#queryAtStart();
+		void this.#askPeersAfterJoining();
 	}
 
 	/** @inheritdoc */
@@ -235,7 +244,11 @@
 	#takeEntry(entry: KeyValueEntry | undefined): void {
 		if (entry) {
 			this.#revision = entry.revision;
-			this.#takeText(entry.value, 'key-value service');
+			if (this.#current || this.#hasAskedPeers) {
+				this.#takeText(entry.value, serviceSource);
+			} else {
+				this.#heldText = entry.value;
+			}
 		}
 	}
 
@@ -305,6 +318,25 @@
 			: {version, record: JSON.stringify(this.#current.configuration)};
 	}
 
+	/**
+	 * Asks peers once this host has joined them, and only then lets a record of the key-value service take effect. The
+	 * service may answer a read with an old value, and a host that restarts must not go back behind its peers.
+	 */
+	async #askPeersAfterJoining(): Promise<void> {
+		const {directory} = this.#options;
+		if (this.#isAskingPeers || directory.getHost(directory.ownName)?.state === HostState.Joining) {
+			return;
+		}
+
+		this.#isAskingPeers = true;
+		await this.#queryAtStart();
+		this.#hasAskedPeers = true;
+		if (this.#heldText !== undefined && !this.#stop.signal.aborted) {
+			this.#takeText(this.#heldText, serviceSource);
+			this.#heldText = undefined;
+		}
+	}
+
 	async #queryAtStart(): Promise<void> {
 		const {directory} = this.#options;
 		const peers = directory.getHosts()
--- a/packages/daemon/tests/version/fleet-configuration-store.test.ts
+++ b/packages/daemon/tests/version/fleet-configuration-store.test.ts
@@ -188,6 +188,20 @@
 		expect(fleet.getVersions()).toEqual([1]);
 	});
 
+	it('starts with the version of its peers when the service answers a read with an old value, which guards against a restart that reverts', async () => {
+		await using fleet = new TestFleet(4);
+		for (let index = 1; index <= 3; index++) {
+			fleet.start(index);
+		}
+
+		fleet.service.set(createConfiguration(2));
+		await fleet.bus.timerService.advance(2000);
+		fleet.service.entry = {value: JSON.stringify(createConfiguration(1)), revision: 1};
+		fleet.start(4);
+		await fleet.bus.timerService.advance(2000);
+		expect(fleet.hosts.get('host-4')!.versions).toEqual([2]);
+	});
+
 	it('takes up changes again after an outage, without a greater rate of calls than stated', async () => {
 		await using fleet = new TestFleet(30).startAll();
 		fleet.service.set(createConfiguration(1));
