Prove the spread of the configuration and the calls to the key-value service

Cause: sections 6 and 7 of the design page promise times and call rates that no test on real processes measured.

--- a/packages/bench/tests/fleet-proofs/operator-commands.test.ts
+++ b/packages/bench/tests/fleet-proofs/operator-commands.test.ts
@@ -175,11 +175,12 @@
 			await client.connect();
 			return client;
 		}));
+		await callers[0]!.query('INSERT INTO pages (id) VALUES (\'a\')');
 		let isStopped = false;
 		let served = 0;
 		const load = callers.map(async client => {
 			while (!isStopped) {
-				await client.query('SELECT \'page\' AS value');
+				await client.query('SELECT id FROM pages WHERE id = \'a\'');
 				served++;
 			}
 		});
--- /dev/null
+++ b/packages/bench/tests/fleet-proofs/service-calls.test.ts
@@ -0,0 +1,166 @@
+import {loadavg} from 'node:os';
+import {SystemTimerService} from '@tarragonstack/core';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {callJson, type Fleet} from '../../src/fleet/index.js';
+import {startProofFleet} from './proof-fleet.js';
+
+/** Call budget of a host that `FleetConfigurationStore` states: calls at once, and the time in which it regains one. */
+const callBurst = 3;
+const callRefillMilliseconds = 5000;
+
+/** Calls that the service of section 1.5 of the design page handles in a second. */
+const readsPerSecond = 2000;
+const writesPerSecond = 300;
+
+/** Hosts and zones of the target in two years. */
+const targetHosts = 480;
+const targetZones = 7;
+
+/** Shortest lifetime of a watch; a watching host makes one call in this time. */
+const shortestWatchMilliseconds = 6000;
+
+const sampleIntervalMilliseconds = 50;
+const restMilliseconds = 12_000;
+const stormMilliseconds = 8000;
+
+const timerService = new SystemTimerService();
+
+type Sample = {readonly at: number; readonly reads: number; readonly writes: number};
+
+/** Counters of the service over time. */
+class CallRecorder implements AsyncDisposable {
+	/** @param fleet - Fleet. */
+	static async start(fleet: Fleet): Promise<CallRecorder> {
+		const recorder = new CallRecorder(fleet);
+		await recorder.#sample();
+		recorder.#worker = recorder.#run();
+		return recorder;
+	}
+
+	readonly #samples: Sample[] = [];
+	#worker: Promise<void> | undefined;
+	#isStopped = false;
+
+	private constructor(private readonly fleet: Fleet) {}
+
+	/** Ends the recording and returns the reads, watches included, and writes, in total and in the busiest second. */
+	async finish(): Promise<{seconds: number; reads: number; writes: number; peakReads: number}> {
+		await this[Symbol.asyncDispose]();
+		await this.#sample();
+		const [first, last] = [this.#samples[0]!, this.#samples.at(-1)!];
+		const peaks = this.#samples.map(sample => {
+			const before = this.#samples.findLast(other => other.at <= sample.at - 1000) ?? first;
+			return sample.reads - before.reads;
+		});
+		return {
+			seconds: (last.at - first.at) / 1000,
+			reads: last.reads - first.reads,
+			writes: last.writes - first.writes,
+			peakReads: Math.max(...peaks),
+		};
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isStopped = true;
+		await this.#worker;
+	}
+
+	async #run(): Promise<void> {
+		while (!this.#isStopped) {
+			await timerService.sleep(sampleIntervalMilliseconds);
+			await this.#sample();
+		}
+	}
+
+	async #sample(): Promise<void> {
+		const {calls} = await callJson('GET', `${this.fleet.keyValueUrl}/status`) as {calls: Record<string, number>};
+		const reads = (calls['/v3/kv/range'] ?? 0) + (calls['/v3/watch'] ?? 0);
+		const writes = Object.entries(calls).filter(([path]) => path !== '/v3/kv/range' && path !== '/v3/watch').reduce((sum, [, count]) => sum + count, 0);
+		this.#samples.push({at: timerService.now(), reads, writes});
+	}
+}
+
+describe('calls to the key-value service', () => {
+	let fleet: Fleet;
+
+	beforeAll(async () => {
+		fleet = await startProofFleet();
+	});
+
+	afterAll(async () => {
+		await fleet?.[Symbol.asyncDispose]();
+	});
+
+	function report(name: string, counts: {seconds: number; reads: number; writes: number; peakReads: number}): void {
+		const perHost = counts.reads / counts.seconds / fleet.hosts.length;
+		console.log(`${name}: ${counts.reads} reads and watches, ${counts.writes} writes in ${counts.seconds.toFixed(1)} s, `
+			+ `${perHost.toFixed(3)} per host and second, ${counts.peakReads} in the busiest second (load average ${loadavg()[0]!.toFixed(1)})`);
+	}
+
+	async function controlKeyValue(settings: Readonly<Record<string, unknown>>): Promise<void> {
+		await callJson('POST', `${fleet.keyValueUrl}/control`, settings);
+	}
+
+	it('makes at rest the calls of one watching host a zone, which guards against calls that grow with the fleet', async () => {
+		// The budgets of the start must not count as rest.
+		await timerService.sleep(2000);
+		await using recorder = await CallRecorder.start(fleet);
+		await timerService.sleep(restMilliseconds);
+		const counts = await recorder.finish();
+		report('at rest', counts);
+		const zones = fleet.deployment.availabilityZones.length;
+		expect(counts.reads).toBeGreaterThan(0);
+		expect(counts.reads).toBeLessThanOrEqual(zones * (Math.ceil(counts.seconds * 1000 / shortestWatchMilliseconds) + 1));
+		expect(counts.writes).toBe(0);
+		console.log(`at rest with ${targetHosts} hosts in ${targetZones} zones: at most ${(targetZones * 1000 / shortestWatchMilliseconds).toFixed(2)} calls/s`);
+	});
+
+	type Storm = {
+		readonly name: string;
+		readonly guards: string;
+		run(): Promise<CallRecorder>;
+	};
+
+	const storms: readonly Storm[] = [
+		{
+			name: 'restart of all hosts at once',
+			guards: 'a service that is overloaded by the start of the fleet',
+			async run() {
+				await Promise.all(fleet.hosts.map(async ({name}) => fleet.kill(name)));
+				const recorder = await CallRecorder.start(fleet);
+				await Promise.all(fleet.hosts.map(async ({name}) => fleet.restart(name)));
+				return recorder;
+			},
+		},
+		{
+			name: 'restart of all hosts during an outage that ends',
+			guards: 'hosts without a version that overload a service on its return',
+			async run() {
+				await controlKeyValue({outage: 'refuse'});
+				await Promise.all(fleet.hosts.map(async ({name}) => fleet.kill(name)));
+				const recorder = await CallRecorder.start(fleet);
+				const starting = Promise.all(fleet.hosts.map(async ({name}) => fleet.restart(name)));
+				await timerService.sleep(4000);
+				await controlKeyValue({outage: 'none'});
+				await starting;
+				return recorder;
+			},
+		},
+	];
+
+	it.each(storms)('keeps the call budget of each host at a $name, which guards against $guards', async ({name, run}) => {
+		await using recorder = await run();
+		await timerService.sleep(stormMilliseconds);
+		const counts = await recorder.finish();
+		report(name, counts);
+		const budget = fleet.hosts.length * (callBurst + Math.ceil(counts.seconds * 1000 / callRefillMilliseconds));
+		expect(counts.reads).toBeGreaterThanOrEqual(fleet.deployment.availabilityZones.length);
+		expect(counts.reads).toBeLessThanOrEqual(budget);
+		expect(counts.peakReads).toBeLessThanOrEqual(fleet.hosts.length * (callBurst + 1));
+		expect(counts.writes).toBe(0);
+		const extrapolated = counts.peakReads / fleet.hosts.length * targetHosts;
+		console.log(`${name} with ${targetHosts} hosts: ${Math.round(extrapolated)} calls in the busiest second by this measurement, `
+			+ `at most ${targetHosts * (callBurst + 1)} by the budget; the service handles ${readsPerSecond} reads/s and ${writesPerSecond} writes/s`);
+		expect(targetHosts * (callBurst + 1)).toBeLessThanOrEqual(readsPerSecond);
+	});
+});
--- /dev/null
+++ b/packages/bench/tests/fleet-proofs/version-sampler.ts
@@ -0,0 +1,76 @@
+import {SystemTimerService} from '@tarragonstack/core';
+import {callJson, type Fleet} from '../../src/fleet/index.js';
+import {type HostStatus} from './proof-fleet.js';
+
+/** Interval between two samples of a host. */
+const intervalMilliseconds = 20;
+
+const timerService = new SystemTimerService();
+
+/** Samples the configuration version that each host reports. */
+export class VersionSampler implements AsyncDisposable {
+	/** Messages about hosts that reported an older version than before, also across a restart. */
+	readonly reversions: string[] = [];
+	/** Samples in which a host reported a version. */
+	samples = 0;
+	readonly #versions = new Map<string, number>();
+	readonly #workers: Array<Promise<void>>;
+	#isStopped = false;
+
+	/** @param fleet - Fleet to observe. */
+	constructor(private readonly fleet: Fleet) {
+		this.#workers = fleet.hosts.map(async ({name, address}) => this.#follow(name, address));
+	}
+
+	/**
+	 * Waits until all hosts report a version, and returns the time at which the last of them did.
+	 *
+	 * @param version - Version, or a newer one.
+	 * @param limitMilliseconds - Time limit.
+	 */
+	async waitForVersion(version: number, limitMilliseconds: number): Promise<number> {
+		const limit = timerService.now() + limitMilliseconds;
+		while (!this.fleet.hosts.every(({name}) => (this.#versions.get(name) ?? 0) >= version)) {
+			if (timerService.now() > limit) {
+				throw new Error(`version ${version} is not in force everywhere: ${JSON.stringify([...this.#versions])}`);
+			}
+
+			await timerService.sleep(5);
+		}
+
+		return timerService.now();
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isStopped = true;
+		await Promise.all(this.#workers);
+	}
+
+	async #follow(name: string, address: string): Promise<void> {
+		while (!this.#isStopped) {
+			const next = timerService.now() + intervalMilliseconds;
+			try {
+				const status = await callJson('GET', `http://${address}:8080/status`) as HostStatus;
+				this.#take(name, status.configuration?.version);
+			} catch {
+				// The host is stopped at the moment.
+			}
+
+			await timerService.sleep(Math.max(1, next - timerService.now()));
+		}
+	}
+
+	#take(name: string, version: number | undefined): void {
+		if (version === undefined) {
+			return;
+		}
+
+		const former = this.#versions.get(name) ?? 0;
+		if (version < former) {
+			this.reversions.push(`${name} went from version ${former} to ${version}`);
+		}
+
+		this.samples++;
+		this.#versions.set(name, version);
+	}
+}
