Wait with a time limit without aborting a sleep

Cause: a CPU profile of a host under reads showed 182 ms of 7.9 s in DOMException: each wait with a time limit aborted a sleep, which creates an exception.

Change: waitAtMost in core schedules a callback instead; four places use it.

--- /dev/null
+++ b/packages/core/src/time/wait-at-most.ts
@@ -0,0 +1,26 @@
+import {type TimerService} from './timer-service.js';
+
+/**
+ * Waits for a promise, but no longer than a given time.
+ *
+ * A scheduled callback costs much less than an aborted sleep, because the abort creates an exception with a stack trace.
+ *
+ * @param promise - Promise to wait for. Its rejection is passed on when it arrives in time and ignored afterwards.
+ * @param milliseconds - Greatest time to wait.
+ * @param timerService - Source of time.
+ * @returns Whether the promise was fulfilled in time.
+ */
+export async function waitAtMost(promise: Promise<unknown>, milliseconds: number, timerService: TimerService): Promise<boolean> {
+	return new Promise<boolean>((resolve, reject) => {
+		const timer = timerService.schedule(milliseconds, () => {
+			resolve(false);
+		});
+		promise.then(() => {
+			timer[Symbol.dispose]();
+			resolve(true);
+		}, (error: unknown) => {
+			timer[Symbol.dispose]();
+			reject(error instanceof Error ? error : new Error(String(error)));
+		});
+	});
+}
--- a/packages/daemon/src/process/instance-scheduler-unit-runner.ts
+++ b/packages/daemon/src/process/instance-scheduler-unit-runner.ts
@@ -1,5 +1,5 @@
 import {
-	AcknowledgementMode, RefusalReason, RequestKind, TransactionStatus, Verdict, type LogPosition, type UpstreamResult,
+	AcknowledgementMode, RefusalReason, RequestKind, TransactionStatus, Verdict, waitAtMost, type LogPosition, type UpstreamResult,
 } from '@tarragonstack/core';
 import {type Result} from 'neverthrow';
 import {BackendMessageReader, BackendMessageType} from '../connection/upstream/backend-message-reader.js';
@@ -218,14 +218,11 @@
 		}
 
 		const {timerService} = this.#options;
-		const controller = new AbortController();
 		const limit = Math.max(minimumReceiveMilliseconds, givenUpAt - timerService.now());
 		try {
-			await Promise.race([sink.write(messages), timerService.sleep(limit, controller.signal)]);
+			await waitAtMost(sink.write(messages), limit, timerService);
 		} catch {
 			// The receiver is gone. The result still tells what happened.
-		} finally {
-			controller.abort();
 		}
 	}
 
--- a/packages/daemon/src/process/instance-scheduler.ts
+++ b/packages/daemon/src/process/instance-scheduler.ts
@@ -1,5 +1,5 @@
 import {
-	MetricName, RefusalReason, RequestKind, TransactionStatus, Verdict,
+	MetricName, RefusalReason, RequestKind, TransactionStatus, Verdict, waitAtMost,
 	type Refusal, type ResponseSink, type UpstreamLoad, type UpstreamRequest, type UpstreamResult,
 } from '@tarragonstack/core';
 import {type Result} from 'neverthrow';
@@ -165,12 +165,7 @@
 		}
 
 		this.#idle ??= createDeferred();
-		const controller = new AbortController();
-		await Promise.race([
-			this.#idle.promise,
-			this.#options.timerService.sleep(timeoutMilliseconds, controller.signal),
-		]);
-		controller.abort();
+		await waitAtMost(this.#idle.promise, timeoutMilliseconds, this.#options.timerService);
 	}
 
 	/** Refuses what waits, rolls back what is open and closes the connections. */
@@ -253,10 +248,9 @@
 		const key = getStoredKey(job.request);
 		for (let user = this.#keysInUse.get(key); user; user = this.#keysInUse.get(key)) {
 			// The instance would make the second insertion wait for the first transaction, in a slot.
-			const controller = new AbortController();
-			await Promise.race([user, this.#sleepUntil(job.givenUpAt, controller.signal)]);
-			controller.abort();
-			if (this.#options.timerService.now() >= job.givenUpAt) {
+			const {timerService} = this.#options;
+			await waitAtMost(user, job.givenUpAt - timerService.now(), timerService);
+			if (timerService.now() >= job.givenUpAt) {
 				return getNotRun({
 					reason: RefusalReason.DeadlineExceeded, message: 'the first request with the idempotency key is still running',
 				});
@@ -447,10 +441,6 @@
 		return Math.min(connectionTimeoutMilliseconds, job.givenUpAt - this.#options.timerService.now());
 	}
 
-	async #sleepUntil(time: number, signal: AbortSignal): Promise<void> {
-		await this.#options.timerService.sleep(time - this.#options.timerService.now(), signal);
-	}
-
 	#adaptLimits(): void {
 		const status = this.#options.groupView.getStatus(this.#options.instance);
 		const slots = status?.slots ?? this.#options.slots;
--- a/packages/daemon/src/request/scheduling/position-waiters.ts
+++ b/packages/daemon/src/request/scheduling/position-waiters.ts
@@ -1,4 +1,4 @@
-import {compareLogPositions, type LogPosition, type TimerService} from '@tarragonstack/core';
+import {compareLogPositions, waitAtMost, type LogPosition, type TimerService} from '@tarragonstack/core';
 import {type GroupView} from '../group-view.js';
 
 /** Shortest pause between two questions for the status, in milliseconds. Bounds the questions while a replica lags. */
@@ -81,12 +81,7 @@
 			const nextDeadline = Math.min(...[...this.#waiters].map(({deadline}) => deadline));
 			const remaining = Math.max(0, nextDeadline - timerService.now());
 			// A question may outlast the deadline of a request, which must then end without the answer.
-			const questionEnd = new AbortController();
-			await Promise.race([
-				refreshStatus?.() ?? timerService.sleep(questionPauseMilliseconds),
-				timerService.sleep(remaining, questionEnd.signal),
-			]);
-			questionEnd.abort();
+			await waitAtMost(refreshStatus?.() ?? timerService.sleep(questionPauseMilliseconds), remaining, timerService);
 			this.#resolveWaiters();
 			if (this.#waiters.size > 0) {
 				await timerService.sleep(questionPauseMilliseconds);
