Collect the writes of one turn of the event loop

Cause: in a CPU profile of a host under load, system calls for single small writes took 1722 ms of 7.1 s processor time.

Change: peer links and caller connections cork their socket until the present turn of the event loop ends.

--- a/packages/daemon/src/connection/caller/caller-output.ts
+++ b/packages/daemon/src/connection/caller/caller-output.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {type Socket} from 'node:net';
 import {type TimerService} from '@tarragonstack/core';
+import {corkUntilNextTurn} from '../cork-until-next-turn.js';
 
 /** Options of the output to a caller. */
 export type CallerOutputOptions = {
@@ -31,6 +32,7 @@
 	 */
 	async write(bytes: Uint8Array): Promise<void> {
 		const {socket, timers, ended, stallTimeoutMilliseconds} = this.#options;
+		corkUntilNextTurn(socket);
 		if (ended.aborted || socket.write(bytes)) {
 			return;
 		}
--- a/packages/daemon/src/connection/peer/peer-link.ts
+++ b/packages/daemon/src/connection/peer/peer-link.ts
@@ -3,6 +3,7 @@
 	encodeFrame, type FrameDecoder, maximumFrameBytes, Verdict, type TimerService,
 } from '@tarragonstack/core';
 import {err, ok, type Result} from 'neverthrow';
+import {corkUntilNextTurn} from '../cork-until-next-turn.js';
 import {
 	type PeerCallOptions, type PeerError, type PeerHandler, type PeerMessageKind,
 } from '../peer-network.js';
@@ -190,6 +191,7 @@
 				onChunk: options.onChunk, settle, consumed: Promise.resolve(), creditBytes, replied: false,
 			});
 			options.signal?.addEventListener('abort', onAbort, {once: true});
+			corkUntilNextTurn(this.#socket);
 			this.#socket.write(frame);
 		});
 	}
@@ -294,6 +296,7 @@
 			return;
 		}
 
+		corkUntilNextTurn(this.#socket);
 		this.#socket.write(encodeFrame(frame));
 	}
 
@@ -478,6 +481,7 @@
 
 			await this.#waitForQueue();
 			if (this.isOpen) {
+				corkUntilNextTurn(this.#socket);
 				this.#socket.write(frame);
 			}
 		} catch (error) {
