End writes that a replaced primary holds

Cause: a write in flight at a cut-off primary kept its caller until the time limit of the rank, although the promotion had taken place. Change: when another instance becomes the primary, the connections of running writes and transactions are closed after 300 ms, so that their callers get 08007. The write gap is measured with writes that begin at a fixed interval.

--- a/packages/bench/src/fuzz/write-gap.ts
+++ b/packages/bench/src/fuzz/write-gap.ts
@@ -11,10 +11,10 @@
 import {FaultKind, injectFault} from './fault.js';
 import {FleetObserver} from './fleet-observer.js';
 import {measureLoss} from './loss.js';
-import {SessionCaller} from './session-caller.js';
+import {SessionCallers} from './session-callers.js';
 
-/** Pause of each writer between two writes. */
-const writePauseMilliseconds = 2;
+/** Interval at which writes begin. */
+const writeIntervalMilliseconds = 10;
 
 /** Time before the fault, and greatest time after it in which writes must go on. */
 const leadMilliseconds = 400;
@@ -35,11 +35,16 @@
 	Pauses = 'pauses',
 }
 
-/** Times of acknowledged writes of several writers, at all hosts. */
+/**
+ * Times of acknowledged writes. A write begins at a fixed interval, no matter how many are under way, because writes that
+ * the old primary holds until their time limit must not keep others from finding the new one.
+ */
 class Writers {
 	readonly times: number[] = [];
-	readonly #tasks: Array<Promise<void>>;
-	#isStopped = false;
+	readonly #callers: SessionCallers;
+	readonly #running = new Set<Promise<void>>();
+	readonly #subscription: Disposable;
+	#count = 0;
 
 	/**
 	 * @param fleet - Fleet.
@@ -47,27 +52,32 @@
 	 * @param round - Number of the run, for the tokens.
 	 */
 	constructor(fleet: Fleet, group: string, round: number) {
-		this.#tasks = fleet.hosts.map(async ({name}) => this.#write(new SessionCaller(fleet, name, group), `g${round}-${name}`));
+		this.#callers = new SessionCallers(fleet, group);
+		this.#subscription = timerService.subscribe(writeIntervalMilliseconds, () => {
+			this.#count++;
+			const host = fleet.hosts[this.#count % fleet.hosts.length]!.name;
+			const running = this.#write(host, `g${round}-${this.#count}`).finally(() => {
+				this.#running.delete(running);
+			});
+			this.#running.add(running);
+		});
 	}
 
 	async stop(): Promise<void> {
-		this.#isStopped = true;
-		await Promise.all(this.#tasks);
+		this.#subscription[Symbol.dispose]();
+		await Promise.all(this.#running);
+		this.#callers[Symbol.dispose]();
 	}
 
-	async #write(caller: SessionCaller, prefix: string): Promise<void> {
-		for (let index = 0; !this.#isStopped; index++) {
+	async #write(host: string, token: string): Promise<void> {
+		await this.#callers.use([host], 'gaps', async ([caller]) => {
 			try {
-				await caller.query(`INSERT INTO gaps (id) VALUES ('${prefix}-${index}')`);
+				await caller!.query(`INSERT INTO gaps (id) VALUES ('${token}')`);
 				this.times.push(timerService.now());
 			} catch {
-				// The next attempt tells when writes are possible again.
+				// The next write tells when writes are possible again.
 			}
-
-			await timerService.sleep(writePauseMilliseconds);
-		}
-
-		caller.close();
+		});
 	}
 }
 
--- a/packages/bench/tests/faults/single-faults.test.ts
+++ b/packages/bench/tests/faults/single-faults.test.ts
@@ -1,8 +1,11 @@
+import {SystemTimerService} from '@tarragonstack/core';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {type Fleet} from '../../src/fleet/index.js';
-import {FaultKind, runScenario} from '../../src/fuzz/index.js';
+import {FaultKind, FleetObserver, injectFault, runScenario, SessionCaller} from '../../src/fuzz/index.js';
 import {startFaultFleet} from './fault-fleet.js';
 
+const timerService = new SystemTimerService();
+
 type Case = {
 	readonly faults: readonly FaultKind[];
 	/** Failure that the case guards against, with the invariant. */
@@ -57,4 +60,25 @@
 			expect(result.promotions > 0).toBe(promotes);
 		}
 	});
+
+	it('answers a write at a cut-off primary as unknown soon after the promotion, which guards against callers that wait for the time limit', async () => {
+		const group = fleet.deployment.groups[0]!;
+		const observer = new FleetObserver(fleet);
+		const before = (await observer.getPrimary(group))!;
+		const caller = new SessionCaller(fleet, fleet.hosts[0]!.name, group);
+		await caller.query('SELECT 1');
+		const sentAt = timerService.now();
+		const write = caller.query('INSERT INTO items (id, owner) VALUES (\'held\', \'held\') /*service_ms=300*/');
+		const rejected = expect(write).rejects.toMatchObject({code: '08007'});
+		await timerService.sleep(50);
+		const heal = await injectFault(FaultKind.IsolatePrimary, {observer, group, choice: 0});
+		await rejected;
+		const milliseconds = timerService.now() - sentAt;
+		await heal();
+		caller.close();
+		const {primary} = await observer.waitUntilReplicated(group, 12_000);
+		expect(primary!.name).not.toBe(before.name);
+		// Detection and promotion take about 0.6 s, the grace of running work 0.3 s; the time limit of the rank is 4 s.
+		expect(milliseconds).toBeLessThan(2500);
+	});
 });
--- a/packages/daemon/src/process/instance-scheduler-unit-runner.ts
+++ b/packages/daemon/src/process/instance-scheduler-unit-runner.ts
@@ -58,6 +58,7 @@
 			{
 				requestIdentifier: request.requestIdentifier,
 				givenUpAt,
+				needsPrimary: request.kind !== RequestKind.Read,
 				// A write that nobody waits for runs to its end, so that its outcome is not left to chance.
 				...(request.kind !== RequestKind.Write && {signal}),
 			},
@@ -198,7 +199,7 @@
 			{
 				sink: discardingSink, hiddenParseCompletes: [], holdMode: HoldMode.Completion, readyCount: statements.length,
 			},
-			{requestIdentifier: job.request.requestIdentifier, givenUpAt: job.givenUpAt},
+			{requestIdentifier: job.request.requestIdentifier, givenUpAt: job.givenUpAt, needsPrimary: true},
 		);
 	}
 
--- a/packages/daemon/src/process/instance-scheduler.ts
+++ b/packages/daemon/src/process/instance-scheduler.ts
@@ -30,6 +30,12 @@
  */
 const defaultExtraStatements = 1;
 
+/**
+ * Time that running writes and transactions get when another instance becomes the primary, in milliseconds. An instance
+ * that still answers ends them by itself. One that is cut off would hold their callers until the time limit of the rank.
+ */
+const replacedPrimaryGraceMilliseconds = 300;
+
 const defaultMaximumQueueEntries = 2000;
 const defaultMaximumQueueBytes = 33_554_432;
 
@@ -48,6 +54,8 @@
 	/** Idempotency keys in use on this host, with the end of the request that uses them. */
 	readonly #keysInUse = new Map<string, Promise<void>>();
 	readonly #limitSubscription: Disposable;
+	readonly #primarySubscription: Disposable;
+	#closing: Disposable | undefined;
 	#idle: Deferred | undefined;
 	#refusal: Refusal | undefined;
 
@@ -70,6 +78,12 @@
 		this.#limitSubscription = timerService.subscribe(limitIntervalMilliseconds, () => {
 			this.#adaptLimits();
 		});
+		this.#primarySubscription = options.groupView.subscribe((group, primary) => {
+			if (group === options.group && primary.instance !== options.instance) {
+				this.#closing?.[Symbol.dispose]();
+				this.#closing = this.#guard.closeRunningOnPrimary(replacedPrimaryGraceMilliseconds);
+			}
+		});
 	}
 
 	/** Requests that are not answered yet. */
@@ -177,6 +191,8 @@
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#refusal ??= {reason: RefusalReason.Stopping, message: 'the host no longer serves the instance'};
 		this.#limitSubscription[Symbol.dispose]();
+		this.#primarySubscription[Symbol.dispose]();
+		this.#closing?.[Symbol.dispose]();
 		this.#queue.close();
 		for (const identifier of this.#transactions.identifiers) {
 			this.abandonTransaction(identifier);
--- a/packages/daemon/src/request/scheduling/statement-guard.ts
+++ b/packages/daemon/src/request/scheduling/statement-guard.ts
@@ -12,12 +12,16 @@
 	readonly givenUpAt: number;
 	/** Cancels the statement when aborted, if given. */
 	readonly signal?: AbortSignal;
+	/** Whether the statement needs the primary. */
+	readonly needsPrimary?: boolean;
 };
 
 /** Runs statements and cancels them on demand, when their time limit passes or when nobody waits for them. */
 export class StatementGuard {
 	readonly #timerService: TimerService;
 	readonly #running = new Map<string, () => void>();
+	/** Connections on which statements run that need the primary. */
+	readonly #primaryConnections = new Map<StatementConnection, symbol>();
 
 	constructor(timerService: TimerService) {
 		this.#timerService = timerService;
@@ -45,6 +49,11 @@
 		};
 
 		this.#running.set(limits.requestIdentifier, cancel);
+		const run = Symbol(limits.requestIdentifier);
+		if (limits.needsPrimary) {
+			this.#primaryConnections.set(connection, run);
+		}
+
 		const timer = this.#timerService.schedule(limits.givenUpAt - this.#timerService.now(), cancel);
 		limits.signal?.addEventListener('abort', cancel, {once: true});
 		try {
@@ -56,12 +65,32 @@
 			return await outcome;
 		} finally {
 			this.#running.delete(limits.requestIdentifier);
+			if (this.#primaryConnections.get(connection) === run) {
+				this.#primaryConnections.delete(connection);
+			}
+
 			timer[Symbol.dispose]();
 			closeTimer?.[Symbol.dispose]();
 			limits.signal?.removeEventListener('abort', cancel);
 		}
 	}
 
+	/**
+	 * Closes the connections of the statements that need the primary and run now, unless they end within a grace.
+	 *
+	 * @param graceMilliseconds - Time in which an instance that still answers can end them.
+	 */
+	closeRunningOnPrimary(graceMilliseconds: number): Disposable {
+		const runs = [...this.#primaryConnections];
+		return this.#timerService.schedule(graceMilliseconds, () => {
+			for (const [connection, run] of runs) {
+				if (this.#primaryConnections.get(connection) === run) {
+					connection.close();
+				}
+			}
+		});
+	}
+
 	/**
 	 * Cancels the statement of a request.
 	 *
