--- a/packages/daemon/src/process/settings/read-settings.ts
+++ b/packages/daemon/src/process/settings/read-settings.ts
@@ -1,4 +1,5 @@
 import {readFileSync} from 'node:fs';
+import {createSecureContext} from 'node:tls';
 import {err, ok, type Result} from 'neverthrow';
 import {type z} from 'zod';
 import {settingsSchema, type Settings} from './settings.js';
@@ -25,7 +26,37 @@
 	}
 
 	const parsed = settingsSchema.safeParse(data);
-	return parsed.success ? ok(parsed.data) : err(parsed.error.issues.map(issue => formatIssue(issue)));
+	if (!parsed.success) {
+		return err(parsed.error.issues.map(issue => formatIssue(issue)));
+	}
+
+	const {callers, peers} = parsed.data;
+	const faults = [...listKeyFaults('callers.tls', callers.tls), ...listKeyFaults('peers.tls', peers.tls)];
+	return faults.length === 0 ? ok(parsed.data) : err(faults);
+}
+
+/** Lists the key files that cannot be read, or the fault that makes the keys unusable together. */
+function listKeyFaults(path: string, files: Readonly<Record<string, string>> = {}): string[] {
+	const faults: string[] = [];
+	const contents: Record<string, string> = {};
+	for (const [field, file] of Object.entries(files)) {
+		try {
+			contents[field] = readFileSync(file, 'utf8');
+		} catch (error) {
+			faults.push(`${path}.${field}: a file that can be read is expected: ${String(error)}`);
+		}
+	}
+
+	if (faults.length > 0) {
+		return faults;
+	}
+
+	try {
+		createSecureContext({cert: contents.certificateFile, key: contents.keyFile, ca: contents.authorityFile});
+		return [];
+	} catch (error) {
+		return [`${path}: a certificate and its key in PEM form are expected: ${String(error)}`];
+	}
 }
 
 function formatIssue(issue: z.core.$ZodIssue): string {
