--- a/packages/bench/src/experiment/run-experiment.ts
+++ b/packages/bench/src/experiment/run-experiment.ts
@@ -135,7 +135,7 @@
 		measuredMilliseconds: duration - warmUp,
 		ranks,
 		replicaReadShare: replicaReads / Math.max(1, replicaReads + primaryReads),
-		writeGapsMilliseconds: getWriteGaps(records, context, duration),
+		writeGapsMilliseconds: getWriteGaps(records, context, warmUp, duration),
 		refundTotal: Object.values(ranks).reduce((sum, {refund}) => sum + refund, 0),
 		refundLowerBound: getLowerBound(records, contract, deployment),
 	};
@@ -164,7 +164,7 @@
 			generators: await summarize(workers.pids),
 		},
 		loadAverage,
-		series: getSeries(records, contract, duration),
+		series: getSeries(records, contract, warmUp, duration),
 	};
 }
 
@@ -195,8 +195,8 @@
 }
 
 /** Returns the gap after each loss of a primary; without losses, the longest gap of each group. */
-function getWriteGaps(records: readonly RequestRecord[], {losses, fleet}: ExperimentContext, duration: number): number[] {
-	const tracker = new WriteGapTracker(warmUpMilliseconds);
+function getWriteGaps(records: readonly RequestRecord[], {losses, fleet}: ExperimentContext, startTime: number, endTime: number): number[] {
+	const tracker = new WriteGapTracker(startTime);
 	const acknowledged = records
 		.filter(({isRead, outcome}) => !isRead && outcome === RequestOutcome.Answered)
 		.map(({group, arrival, latency}) => ({group, time: arrival + latency}))
@@ -206,8 +206,8 @@
 	}
 
 	return losses.length > 0
-		? losses.map(({group, time}) => tracker.getLongestGap(group, duration, time))
-		: fleet.deployment.groups.map(group => tracker.getLongestGap(group, duration));
+		? losses.map(({group, time}) => tracker.getLongestGap(group, endTime, time))
+		: fleet.deployment.groups.map(group => tracker.getLongestGap(group, endTime));
 }
 
 function getLowerBound(records: readonly RequestRecord[], contract: Contract, deployment: Deployment): number {
@@ -241,9 +241,9 @@
 	return counts;
 }
 
-function getSeries(records: readonly RequestRecord[], contract: Contract, duration: number): SeriesPoint[] {
+function getSeries(records: readonly RequestRecord[], contract: Contract, startTime: number, endTime: number): SeriesPoint[] {
 	const points: SeriesPoint[] = [];
-	for (let time = warmUpMilliseconds; time < duration; time += seriesIntervalMilliseconds) {
+	for (let time = startTime; time < endTime; time += seriesIntervalMilliseconds) {
 		points.push({time, ranks: getAllRankFigures(getBetween(records, time, time + seriesIntervalMilliseconds), contract.ranks)});
 	}
 
