Admit urgent work without a margin for its deviation, and budget retries by rank

Cause: the plan subtracted the deviation of the service time from the due time and left 25% of the slot time free. A request with a target of 100 ms and statements of 30 ms was refused with three like it waiting, although none came late. With variable service times few urgent requests were admitted, so that their estimate was hardly ever corrected. Refusals of a flooded rank also used up the group's retry budget.

--- a/packages/daemon/src/request/routing/request-router.ts
+++ b/packages/daemon/src/request/routing/request-router.ts
@@ -93,7 +93,7 @@
 			signal,
 			end: request.arrivedAt + request.terms.timeoutMilliseconds,
 		};
-		this.#getRetryBudget(request.group).countRequest();
+		this.#getRetryBudget(request).countRequest();
 		try {
 			const result = await this.#handlers[request.kind](execution);
 			this.#raiseFloor(session, request.group, result.position);
@@ -144,7 +144,7 @@
 
 			this.#penalize(instance, last);
 			const isBehind = last.refusal?.reason === RefusalReason.ReplicaBehind;
-			if (!isBehind && !this.#getRetryBudget(execution.request.group).tryTakeRetry()) {
+			if (!isBehind && !this.#getRetryBudget(execution.request).tryTakeRetry()) {
 				return last;
 			}
 		}
@@ -361,11 +361,13 @@
 		}
 	}
 
-	#getRetryBudget(group: string): RetryBudget {
-		let budget = this.#retryBudgets.get(group);
+	/** Each rank has a budget of its own, so that refusals of a flooded rank leave the retries of the others alone. */
+	#getRetryBudget({group, rank}: CallerRequest): RetryBudget {
+		const key = `${group}/${rank}`;
+		let budget = this.#retryBudgets.get(key);
 		if (!budget) {
 			budget = new RetryBudget(this.#options.timerService);
-			this.#retryBudgets.set(group, budget);
+			this.#retryBudgets.set(key, budget);
 		}
 
 		return budget;
--- a/packages/daemon/src/request/scheduling/capacity-profile.ts
+++ b/packages/daemon/src/request/scheduling/capacity-profile.ts
@@ -2,16 +2,10 @@
 const firstHorizonMilliseconds = 2;
 
 /** Ratio of neighbouring horizons. Due times are rounded down by at most this ratio. */
-const horizonRatio = 1.12;
+const horizonRatio = 1.06;
 
 /** Number of horizons; the last one is about 15 s, and work due later counts there. */
-const horizonCount = 80;
-
-/**
- * Share of the slot time up to a horizon that a plan fills. The rest absorbs statements that take longer than expected;
- * with a full plan, the last accepted work would be due exactly when it ends and half of it would be late.
- */
-const plannedShare = 0.75;
+const horizonCount = 160;
 
 const horizons: readonly number[] = Array.from(
 	{length: horizonCount},
@@ -23,16 +17,16 @@
 /** Slot time that is left up to each of a series of horizons, after accepted work has taken its part. */
 export class CapacityProfile {
 	readonly #slack = new Float64Array(horizonCount);
-	readonly #slots: number;
+	readonly #plannedSlots: number;
 
 	/**
 	 * Creates the profile of an instance without waiting work.
 	 *
-	 * @param slots - Statements that run at the same time.
+	 * @param plannedSlots - Statements that run at the same time, less a reserve for statements that take longer than expected.
 	 * @param residualMilliseconds - Slot time that running work still needs.
 	 */
-	constructor(slots: number, residualMilliseconds: number) {
-		this.#slots = slots;
+	constructor(plannedSlots: number, residualMilliseconds: number) {
+		this.#plannedSlots = plannedSlots;
 		for (let index = 0; index < horizonCount; index++) {
 			this.#slack[index] = this.#initial(index) - residualMilliseconds;
 		}
@@ -158,7 +152,7 @@
 	}
 
 	#initial(index: number): number {
-		return plannedShare * this.#slots * horizons[index]!;
+		return this.#plannedSlots * horizons[index]!;
 	}
 }
 
--- a/packages/daemon/src/request/scheduling/refund-plan.ts
+++ b/packages/daemon/src/request/scheduling/refund-plan.ts
@@ -14,6 +14,12 @@
  */
 const maximumReserveShare = 0.5;
 
+/**
+ * Reserve of slot time per relative deviation of the service times. Without a reserve, the last accepted work would be due
+ * exactly when it is expected to end. A greater reserve refuses work that could be on time, which costs as much as lateness.
+ */
+const reservePerDeviation = 0.2;
+
 /** Work beyond this number is not planned. The work that saves most is planned first, so that only cheap work is left out. */
 const maximumPlannedWork = 512;
 
@@ -84,6 +90,8 @@
 	readonly #state: QueueState;
 	readonly #shares: CustomerShares;
 	readonly #accepted: PlannedWork[] = [];
+	/** Slots less the reserve for statements that take longer than expected. */
+	readonly #plannedSlots: number;
 	readonly #profile: CapacityProfile;
 	/** Profile in which new work of a rank must find room: without accepted work that it may displace. */
 	readonly #rankProfiles = new Map<Rank, CapacityProfile>();
@@ -94,7 +102,8 @@
 		this.#state = state;
 		this.#shares = shares;
 		this.time = state.now;
-		this.#profile = new CapacityProfile(state.slots, state.residualMilliseconds);
+		this.#plannedSlots = state.slots * getPlannedShare(state.waiting);
+		this.#profile = new CapacityProfile(this.#plannedSlots, state.residualMilliseconds);
 		const byRank = this.#sortOutLate();
 		for (const [rank, {share}] of getRankFloors(state.waiting)) {
 			this.#getRankWork(rank, share);
@@ -172,7 +181,7 @@
 	 */
 	getExpectedWait(example: ScheduledWork): number {
 		const remaining = example.lateAt - example.arrivedAt;
-		const due = remaining - responseWayMilliseconds - example.deviationMilliseconds;
+		const due = remaining - responseWayMilliseconds;
 		const profile = this.#getRankProfile(example);
 		const wait = profile.getTaken(due) / this.#state.slots;
 		return profile.fits(due, example.serviceMilliseconds) ? wait : Math.max(wait, remaining);
@@ -301,8 +310,7 @@
 	 * slot only, so it must start earlier than that model says.
 	 */
 	#getLastDue(work: ScheduledWork): number {
-		return work.lateAt - this.time - responseWayMilliseconds - work.deviationMilliseconds
-			- (work.serviceMilliseconds * (1 - (1 / this.#state.slots)));
+		return work.lateAt - this.time - responseWayMilliseconds - (work.serviceMilliseconds * (1 - (1 / this.#state.slots)));
 	}
 
 	/** Returns the last due time less a reserve, which grows with the value of the work in relation to the cheapest. */
@@ -319,7 +327,7 @@
 		}
 
 		const density = getDensity(example);
-		const profile = new CapacityProfile(this.#state.slots, this.#state.residualMilliseconds);
+		const profile = new CapacityProfile(this.#plannedSlots, this.#state.residualMilliseconds);
 		profile.takeAll(this.#accepted.map(planned => {
 			const {work, dueMilliseconds, serviceMilliseconds} = planned;
 			const isKept = work.rank === example.rank || work.isContinuation || planned.density >= density;
@@ -341,3 +349,15 @@
 		return first;
 	}
 }
+
+/** Returns the share of the slot time that a plan fills: the less, the more the service times of the waiting work vary. */
+function getPlannedShare(waiting: Iterable<ScheduledWork>): number {
+	let service = 0;
+	let deviation = 0;
+	for (const work of waiting) {
+		service += work.serviceMilliseconds;
+		deviation += work.deviationMilliseconds;
+	}
+
+	return service > 0 ? 1 / (1 + (reservePerDeviation * deviation / service)) : 1;
+}
