Let one replica lag more than the others, and lose entries in transit

Change: one replica lags by 400 ms, the others by 30 ms. The measurement delays the network between instances by 50 ms and cuts the primary off.

--- a/packages/bench/src/fuzz/fault.ts
+++ b/packages/bench/src/fuzz/fault.ts
@@ -32,6 +32,10 @@
 	GracefulStop = 'graceful-stop',
 }
 
+/** Replication lag of one replica, and of all other instances, while replicas lag. */
+const greatLagMilliseconds = 400;
+const smallLagMilliseconds = 30;
+
 /** Where a fault strikes. */
 export type FaultTarget = {
 	readonly observer: FleetObserver;
@@ -195,8 +199,13 @@
 	},
 	async [FaultKind.LagReplicas](target) {
 		const {fleet} = target.observer;
+		// With the same lag on both replicas, every write that is acknowledged as replicated would be on all of them.
+		const behind = await getReplicaNameOrThrow(target);
 		const names = target.observer.getInstances(target.group).map(({name}) => name).filter(name => fleet.getProcessOrThrow(name).isRunning);
-		const heals = await Promise.all(names.map(async name => controlInstance(target, name, {lagMilliseconds: 150}, {lagMilliseconds: 0})));
+		const heals = await Promise.all(names.map(async name => {
+			const lagMilliseconds = name === behind ? greatLagMilliseconds : smallLagMilliseconds;
+			return controlInstance(target, name, {lagMilliseconds}, {lagMilliseconds: 0});
+		}));
 		return async () => {
 			await Promise.all(heals.map(async heal => heal()));
 		};
--- a/packages/bench/src/fuzz/loss.ts
+++ b/packages/bench/src/fuzz/loss.ts
@@ -3,10 +3,13 @@
 import {type FleetObserver} from './fleet-observer.js';
 import {SessionCaller} from './session-caller.js';
 
-/** Replication lag during the measurement. */
+/**
+ * Time that entries take from the primary to a replica. Instances talk to each other for replication only, so the delay
+ * concerns nothing else. A lag of the instance would not do, because a replica applies what it has received in any case.
+ */
 const lagMilliseconds = 50;
 
-/** Load before the primary is killed. */
+/** Load before the primary is cut off, and after that. */
 const leadMilliseconds = 500;
 const settleLimitMilliseconds = 20_000;
 
@@ -16,20 +19,18 @@
 const timerService = new SystemTimerService();
 
 /**
- * Kills the primary under load and counts the acknowledged writes that the new primary does not have.
+ * Cuts the primary off under load and counts the acknowledged writes that the new primary does not have.
  *
  * @param observer - Observer of the fleet.
  * @param group - Group.
  * @param runs - Number of promotions for each mode of acknowledgement.
  */
 export async function measureLoss(observer: FleetObserver, group: string, runs: number): Promise<Record<string, unknown>> {
-	const {fleet} = observer;
 	const result: Record<string, {runs: number; acknowledged: number; lost: number}> = {};
 	for (const [mode, rank] of Object.entries(ranksByMode)) {
 		const counts = {runs, acknowledged: 0, lost: 0};
 		for (let round = 0; round < runs; round++) {
-			await Promise.all(observer.getInstances(group).map(async ({name}) => fleet.controlInstance(name, {lagMilliseconds})));
-			const acknowledged = await writeUntilKilled(observer, group, `${mode}-${round}`, rank);
+			const acknowledged = await writeUntilCutOff(observer, group, `${mode}-${round}`, rank);
 			const {primary, problem} = await observer.waitUntilReplicated(group, settleLimitMilliseconds);
 			if (!primary) {
 				throw new Error(problem);
@@ -47,9 +48,15 @@
 	return {lagMilliseconds, ...result};
 }
 
-async function writeUntilKilled(observer: FleetObserver, group: string, prefix: string, rank: string): Promise<string[]> {
+async function writeUntilCutOff(observer: FleetObserver, group: string, prefix: string, rank: string): Promise<string[]> {
 	const acknowledged: string[] = [];
 	const stop = new AbortController();
+	const primary = (await observer.getPrimary(group))!;
+	const delays: AsyncDisposable[] = [];
+	for (const {name} of observer.getInstances(group)) {
+		delays.push(await observer.fleet.network.inject({source: {name: primary.name}, destination: {name}, delayMilliseconds: lagMilliseconds}));
+	}
+
 	const tasks = observer.fleet.hosts.map(async ({name}) => {
 		const caller = new SessionCaller(observer.fleet, name, group);
 		for (let index = 0; !stop.signal.aborted; index++) {
@@ -67,10 +74,14 @@
 		caller.close();
 	});
 	await timerService.sleep(leadMilliseconds);
-	const heal = await injectFault(FaultKind.KillPrimary, {observer, group, choice: 0});
+	const heal = await injectFault(FaultKind.IsolatePrimary, {observer, group, choice: 0});
 	await timerService.sleep(leadMilliseconds);
 	stop.abort();
 	await Promise.all(tasks);
 	await heal();
+	for (const delay of delays) {
+		await delay[Symbol.asyncDispose]();
+	}
+
 	return acknowledged;
 }
--- a/packages/bench/src/fuzz/workload.ts
+++ b/packages/bench/src/fuzz/workload.ts
@@ -85,7 +85,7 @@
 			[10, () => operations.appendWithKey([caller, this.#getCaller(worker, this.#pickHost(), caller.session)], counter)],
 			[8, () => operations.pair(caller)],
 			[2, () => operations.pair(caller, 'ROLLBACK')],
-			[1, () => operations.pair(caller, 'close')],
+			[3, () => operations.pair(caller, 'close')],
 			[10, () => operations.readPair(caller, this.#pickPair())],
 			[7, () => operations.readConstant(caller)],
 			[7, () => operations.readConstant(caller, true)],
