--- a/packages/bench/tests/fleet-proofs/configuration-spread.test.ts
+++ b/packages/bench/tests/fleet-proofs/configuration-spread.test.ts
@@ -81,7 +81,7 @@
 		expect(sampler.reversions).toEqual([]);
 	});
 
-	it(`brings a change into force within ${outageTargetMilliseconds} ms when the service is lost right after the acceptance, which guards against a version that stays with the watching hosts`, async () => {
+	it(`brings a change into force within ${outageTargetMilliseconds} ms with the service lost right after the acceptance, which guards against a version that stays with the watchers`, async () => {
 		await using sampler = new VersionSampler(fleet);
 		const durations: number[] = [];
 		for (let index = 0; index < outageCount; index++) {
@@ -107,7 +107,7 @@
 		expect(await operator.put(contract, version)).toMatchObject({exitCode: 0});
 		await sampler.waitForVersion(version + 1, 9000);
 		await controlKeyValue({staleChanges: 1});
-		const samples = sampler.samples;
+		const {samples} = sampler;
 		for (const {name} of [fleet.hosts[0]!, fleet.hosts[1]!, fleet.hosts[5]!]) {
 			await fleet.kill(name);
 			await fleet.restart(name);
--- a/packages/bench/tests/fleet-proofs/control-process.ts
+++ b/packages/bench/tests/fleet-proofs/control-process.ts
@@ -27,7 +27,7 @@
 	return new Promise((resolve, reject) => {
 		execFile(process.execPath, [controlScript, ...parameters], {timeout: limitMilliseconds}, (error, output, errors) => {
 			if (error && typeof error.code !== 'number') {
-				reject(error);
+				reject(new Error('the process did not end by itself', {cause: error}));
 			} else {
 				resolve({exitCode: Number(error?.code ?? 0), output, errors});
 			}
--- a/packages/bench/tests/fleet-proofs/operator-commands.test.ts
+++ b/packages/bench/tests/fleet-proofs/operator-commands.test.ts
@@ -152,11 +152,11 @@
 		const text = await operator.runAtHosts('status');
 		expect(text).toMatchObject({exitCode: 0, errors: ''});
 		for (const {name, address} of fleet.hosts) {
-			expect(text.output).toMatch(new RegExp(`${name} ${address}:8080: accepts work, version ${version} by \\S+ in force for [\\d.]+ s`, 'v'));
+			expect(text.output).toMatch(new RegExp(String.raw`${name} ${address}:8080: accepts work, version ${version} by \S+ in force for [\d.]+ s`, 'v'));
 		}
 
 		for (const group of fleet.deployment.groups) {
-			expect(text.output).toMatch(new RegExp(`group ${group}: primary ${group}-[abc], term \\d+`, 'v'));
+			expect(text.output).toMatch(new RegExp(String.raw`group ${group}: primary ${group}-[abc], term \d+`, 'v'));
 		}
 
 		const json = JSON.parse((await operator.runAtHosts('status', '--json')).output) as {hosts: Array<{body: {configuration: unknown}}>};
@@ -176,10 +176,10 @@
 			return client;
 		}));
 		await callers[0]!.query('INSERT INTO pages (id) VALUES (\'a\')');
-		let isStopped = false;
+		const loadEnd = new AbortController();
 		let served = 0;
 		const load = callers.map(async client => {
-			while (!isStopped) {
+			while (!loadEnd.signal.aborted) {
 				await client.query('SELECT id FROM pages WHERE id = \'a\'');
 				served++;
 			}
@@ -200,7 +200,7 @@
 		expect(served).toBeGreaterThan(servedBefore);
 		expect(await operator.run('undrain', instance.name, '--author', 'ana')).toMatchObject({exitCode: 0});
 		await waitUntil(10_000, async () => await countReads() > drained);
-		isStopped = true;
+		loadEnd.abort();
 		await Promise.all(load);
 		await Promise.all(callers.map(async client => client.end()));
 	});
--- a/packages/daemon/src/version/fleet-configuration-store.ts
+++ b/packages/daemon/src/version/fleet-configuration-store.ts
@@ -247,7 +247,7 @@
 	#takeEntry(entry: KeyValueEntry | undefined): void {
 		if (entry) {
 			this.#revision = entry.revision;
-			if (this.#current || this.#hasAskedPeers) {
+			if (this.#hasAskedPeers || this.#current !== undefined) {
 				this.#takeText(entry.value, serviceSource);
 			} else {
 				this.#heldText = entry.value;
