--- a/packages/bench/src/experiment/sample-directory.ts
+++ b/packages/bench/src/experiment/sample-directory.ts
@@ -23,7 +23,7 @@
 
 	/** @inheritdoc */
 	async [Symbol.asyncDispose](): Promise<void> {
-		delete process.env[directoryVariable];
+		Reflect.deleteProperty(process.env, directoryVariable);
 		if (this.#formerNodeOptions === undefined) {
 			delete process.env.NODE_OPTIONS;
 		} else {
--- a/packages/bench/tests/experiment/experiment.test.ts
+++ b/packages/bench/tests/experiment/experiment.test.ts
@@ -4,6 +4,7 @@
 import {expect, it} from 'vitest';
 import {getCompiledPath} from '../../src/fleet/compiled-path.js';
 
+// eslint-disable-next-line @typescript-eslint/strict-void-return -- execFile returns the child process besides its callback
 const execute = promisify(execFile);
 
 const figures = {
