Refuse big numbers and large lists in frames of peers

The CBOR library reads a big number of 1 MB in quadratic time (over 8 s), and it reserves memory for the stated number of elements of a list: 5 bytes reserved 800 MB. Change: frames with big numbers (tags 2 and 3) or with lists or maps of more than 65,536 elements are refused as malformed. Conclusion: one frame can no longer block the event loop of a host.

--- a/packages/core/src/codec/frame-codec.ts
+++ b/packages/core/src/codec/frame-codec.ts
@@ -1,4 +1,6 @@
-import {decode, encode} from 'cbor-x';
+import {
+	addExtension, decode, encode, setSizeLimits, type Extension,
+} from 'cbor-x';
 import {err, ok, type Result} from 'neverthrow';
 
 /** Bytes of the length field in front of each frame. */
@@ -7,6 +9,23 @@
 /** Greatest length of a frame's body, in bytes. */
 export const maximumFrameBytes = 1_048_576;
 
+/** Greatest number of elements of a list or map. The library reserves memory for the stated number before it reads them. */
+export const maximumElements = 65_536;
+
+/** CBOR tags of positive and negative big numbers. Frames contain none, and the library takes quadratic time to read them. */
+const bigNumberTags = [2, 3];
+
+setSizeLimits({maxArraySize: maximumElements, maxMapSize: maximumElements, maxObjectSize: maximumElements});
+for (const tag of bigNumberTags) {
+	// The types demand an encoder, which the library does not need for an extension that only decodes.
+	addExtension({
+		tag,
+		decode() {
+			throw new Error('a frame contains a big number');
+		},
+	} as unknown as Extension<never, never>);
+}
+
 /** Reason why received bytes are not a valid frame. */
 export enum FrameError {
 	TooLong = 'frame-too-long',
--- a/packages/core/tests/codec/frame-codec.test.ts
+++ b/packages/core/tests/codec/frame-codec.test.ts
@@ -20,6 +20,20 @@
 		expect(received).toEqual(values);
 	});
 
+	it.each([
+		{body: Buffer.concat([Buffer.from([0xC2, 0x5A, 0, 0x0F, 0xFF, 0]), Buffer.alloc(1_048_320, 0xFF)]), guards: 'a big number that takes minutes to read'},
+		{body: Buffer.concat([Buffer.from([0xC3, 0x5A, 0, 0x0F, 0xFF, 0]), Buffer.alloc(1_048_320, 0xFF)]), guards: 'a negative big number'},
+		{body: Buffer.from('9a06000000', 'hex'), guards: 'a list of 100 million elements, for which 800 MB would be reserved'},
+		{body: Buffer.from('ba00ffffff', 'hex'), guards: 'a map of 16 million elements'},
+		{body: Buffer.alloc(maximumFrameBytes, 0x81), guards: 'lists nested beyond the depth of the stack'},
+	])('refuses $guards at once', ({body}) => {
+		const header = Buffer.alloc(4);
+		header.writeUInt32BE(body.length);
+		const startedAt = performance.now();
+		expect(new FrameDecoder().push(Buffer.concat([header, body]))._unsafeUnwrapErr()).toBe(FrameError.Malformed);
+		expect(performance.now() - startedAt).toBeLessThan(1000);
+	});
+
 	it('refuses a length beyond the limit before it buffers the frame', () => {
 		const header = Buffer.alloc(4);
 		header.writeUInt32BE(maximumFrameBytes + 1);
