--- a/packages/bench/src/experiment/main.ts
+++ b/packages/bench/src/experiment/main.ts
@@ -54,6 +54,9 @@
 		scale: option({
 			long: 'scale', type: number, defaultValue: () => 1, description: 'factor for the rate and the duration of the load, for a short trial',
 		}),
+		groups: option({
+			long: 'groups', type: number, defaultValue: () => 3, description: 'number of groups; fewer than 3 make the fleet and its load smaller',
+		}),
 		html: option({long: 'html', type: optional(string), description: 'file for a report with plots'}),
 		json: flag({long: 'json', description: 'print the figures as one JSON object on the last line'}),
 	},
@@ -63,8 +66,10 @@
 			return;
 		}
 
-		const deployment = deployments[options.deployment];
-		const contracts = await loadContracts(path.join(options.examples, deployment.name));
+		const {groups: allGroups, ...rest} = deployments[options.deployment];
+		const deployment = {...rest, groups: allGroups.slice(0, options.groups)};
+		const allContracts = await loadContracts(path.join(options.examples, deployment.name));
+		const contracts = allContracts.map(contract => ({...contract, groups: contract.groups.filter(group => deployment.groups.includes(group))}));
 		const {policy, seed, scale} = options;
 		if (name === ExperimentName.Overhead) {
 			const overhead = await measureOverhead(deployment, contracts, seed);
--- a/packages/bench/src/experiment/report-table.ts
+++ b/packages/bench/src/experiment/report-table.ts
@@ -28,7 +28,7 @@
  */
 export function formatReport(report: ExperimentReport): string {
 	const lines = [
-		`${report.experiment}, ${report.deployment}, ${report.policy}, seed ${report.seed}, load average ${report.loadAverage.toFixed(1)}`,
+		`${report.experiment}, ${report.deployment} (${report.groups} groups), ${report.policy}, seed ${report.seed}, load average ${report.loadAverage.toFixed(1)}`,
 		formatLine(header),
 		...Object.values(Rank).map(rank => formatRank(rank, report.ranks[rank])),
 	];
--- a/packages/bench/src/experiment/run-experiment.ts
+++ b/packages/bench/src/experiment/run-experiment.ts
@@ -44,6 +44,7 @@
 export type ExperimentReport = {
 	readonly experiment: string;
 	readonly deployment: string;
+	readonly groups: number;
 	readonly policy: string;
 	readonly seed: number;
 	readonly ranks: Readonly<Record<Rank, RankFigures>>;
@@ -144,6 +145,7 @@
 	return {
 		experiment: name,
 		deployment: deployment.name,
+		groups: deployment.groups.length,
 		policy,
 		seed,
 		ranks,
