--- a/packages/bench/src/fuzz/scenario.ts
+++ b/packages/bench/src/fuzz/scenario.ts
@@ -17,6 +17,9 @@
 /** Time in which every host must serve writes again. */
 const serviceLimitMilliseconds = 10_000;
 
+/** Lines of the standard error stream of a process that has ended, for the message. */
+const endLines = 12;
+
 const timerService = new SystemTimerService();
 
 /** Faults under load. */
@@ -84,7 +87,9 @@
 		}
 
 		caller.close();
-		return [{invariant: Invariant.Recovery, message: `${name} serves no writes of ${group}: ${last}`}];
+		const {isRunning, errorLines} = fleet.getProcessOrThrow(name);
+		const process = isRunning ? 'the process runs' : `the process has ended: ${errorLines.slice(-endLines).join(' ')}`;
+		return [{invariant: Invariant.Recovery, message: `${name} serves no writes of ${group}: ${last}; ${process}`}];
 	}));
 	return results.flat();
 }
