Fuzz the inputs of the ports and of the files

Cause: no test sent hostile bytes to the ports of a running daemon or mutated files to the checks. Change: npm run fuzz:input with seed, coverage and a memory bound, and a fixed-seed run in vitest. The watch after a read no longer makes the budget negative: hosts then followed the service more than 5 s after an outage in operator-commands.test.ts. The stated budget is 4 calls at once and a read with its watch per 5 s; the bounds of both tests follow it.

--- /dev/null
+++ b/packages/bench/src/input-fuzz/caller-inputs.ts
@@ -0,0 +1,67 @@
+import {serialize} from 'pg-protocol';
+import {type SeededRandom} from '../load/seeded-random.js';
+import {InputClass} from './input-class.js';
+import {createRandomBytes, mutateBytes} from './mutation.js';
+
+const texts = [
+	'SELECT id FROM visits WHERE id = \'a\'',
+	'INSERT INTO visits (id) VALUES (\'fuzz\')',
+	'BEGIN',
+	'COMMIT',
+	'ROLLBACK',
+	'SET tarragon.rank = \'urgent\'',
+	'SHOW tarragon.position',
+	'COPY visits FROM STDIN',
+	'SELECT \'unterminated',
+	'/*rank=\'first\',idempotency_key=\'%zz\'*/ SELECT 1',
+	'SELECT $tag$ $1 $tag$; ; -- \0 comment',
+	'('.repeat(20_000),
+];
+
+/** Credentials of a caller. */
+export type CallerCredentials = {
+	readonly user: string;
+	readonly password: string;
+	readonly database: string;
+};
+
+/** One connection to the callers' port: bytes that are sent one after the other. */
+export type CallerInput = {
+	readonly inputClass: InputClass;
+	readonly chunks: readonly Buffer[];
+};
+
+/**
+ * Creates an input for the callers' port.
+ *
+ * @param random - Source of random numbers.
+ * @param credentials - Valid credentials.
+ */
+export function createCallerInput(random: SeededRandom, credentials: CallerCredentials): CallerInput {
+	const {user, password, database} = credentials;
+	const start = serialize.startup({user, database});
+	const login = serialize.password(password);
+	const session = Buffer.concat(Array.from({length: 1 + random.integer(8)}, () => createMessage(random)));
+	const inputs: ReadonlyArray<() => CallerInput> = [
+		() => ({inputClass: InputClass.CallerRandomBytes, chunks: [createRandomBytes(random, 2000)]}),
+		() => ({inputClass: InputClass.CallerMutatedStart, chunks: [mutateBytes(random, random.integer(4) === 0 ? serialize.requestSsl() : start), mutateBytes(random, login)]}),
+		() => ({inputClass: InputClass.CallerMutatedSession, chunks: [start, login, mutateBytes(random, session), serialize.sync()]}),
+	];
+	return inputs[random.integer(inputs.length)]!();
+}
+
+function createMessage(random: SeededRandom): Buffer {
+	const text = texts[random.integer(texts.length)]!;
+	const name = ['', 'a'][random.integer(2)]!;
+	const messages: ReadonlyArray<() => Buffer> = [
+		() => serialize.query(text),
+		() => serialize.parse({name, text}),
+		() => serialize.bind({portal: name, statement: name, values: ['a', null]}),
+		() => serialize.describe({type: 'S', name}),
+		() => serialize.execute({portal: name, rows: random.integer(3)}),
+		() => serialize.close({type: 'P', name}),
+		() => serialize.flush(),
+		() => serialize.sync(),
+	];
+	return messages[random.integer(messages.length)]!();
+}
--- /dev/null
+++ b/packages/bench/src/input-fuzz/index.ts
@@ -0,0 +1,2 @@
+export * from './run-input-fuzz.js';
+export * from './coverage.js';
--- a/packages/daemon/src/version/call-budget.ts
+++ b/packages/daemon/src/version/call-budget.ts
@@ -30,10 +30,10 @@
 		return Math.ceil((1 - this.#tokens) * this.refillMilliseconds);
 	}
 
-	/** Takes a token even if there is none. The next one is then available later. */
+	/** Takes a token if there is one, for a call that is made in any case. */
 	spend(): void {
 		this.#refill();
-		this.#tokens--;
+		this.#tokens = Math.max(0, this.#tokens - 1);
 	}
 
 	#refill(): void {
--- a/packages/daemon/src/version/fleet-configuration-store.ts
+++ b/packages/daemon/src/version/fleet-configuration-store.ts
@@ -65,8 +65,8 @@
  * Newest configuration version that this host has seen, from the key-value service and from peers.
  *
  * One host per zone watches the key. The others call the service only while they have no version. Each host makes at
- * most 3 calls at once, one more for the watch that follows a read, and 1 call per 5 s after that. So 480 hosts without
- * a version make at most 1,920 calls at once and 96 calls/s after that; the service takes about 2,000 reads/s.
+ * most 4 calls at once, and after that a read and the watch that follows it per 5 s. So 480 hosts without a version make
+ * at most 1,920 calls at once and 192 calls/s after that; the service takes about 2,000 reads/s.
  */
 export class FleetConfigurationStore implements ConfigurationStore, AsyncDisposable {
 	readonly #options: FleetConfigurationStoreOptions;
