--- a/packages/bench/src/experiment/load-worker.ts
+++ b/packages/bench/src/experiment/load-worker.ts
@@ -38,34 +38,44 @@
 	});
 }
 
+async function createPools(task: LoadTask): Promise<CallerPools> {
+	const pools = new CallerPools((host, group) => task.connectionStrings[`${host}/${group}`]!, connectionsPerPool);
+	await pools.warmUp(task.hosts, task.groups, Math.ceil(task.warmConnections / task.loads.length));
+	return pools;
+}
+
+/** Runs the load of each rank with connections of its own, as its callers are applications of their own. */
 async function execute(task: LoadTask): Promise<void> {
-	await using pools = new CallerPools((host, group) => task.connectionStrings[`${host}/${group}`]!, connectionsPerPool);
-	await pools.warmUp(task.hosts, task.groups, task.warmConnections);
+	const pools = await Promise.all(task.loads.map(async () => createPools(task)));
 	report({kind: 'ready'});
 	const command = await receive();
 	if (command.kind !== 'start') {
 		throw new Error(`unexpected message "${command.kind}"`);
 	}
 
-	await timerService.sleep(command.startAt - clockOffset - timerService.now());
 	const startTime = command.startAt - clockOffset;
+	await timerService.sleep(startTime - timerService.now());
 	const records: RequestRecord[] = [];
-	const generator = new LoadGenerator({
+	const results = await Promise.all(task.loads.map(async (load, index) => new LoadGenerator({
 		...task,
-		pools,
+		loads: [load],
+		seed: task.seed + index,
+		pools: pools[index]!,
 		timerService,
 		startTime,
 		onOutcome(request, error) {
 			records.push(createRecord(request, startTime, task.clientDelayMilliseconds, error));
 		},
-	});
-	const {ranks} = await generator.run();
+	}).run()));
 	let missedOwnWrites = 0;
-	for (const rank of ranks.values()) {
-		missedOwnWrites += rank.missedOwnWrites;
+	for (const {ranks} of results) {
+		for (const rank of ranks.values()) {
+			missedOwnWrites += rank.missedOwnWrites;
+		}
 	}
 
 	report({kind: 'finished', records, missedOwnWrites});
+	await Promise.all(pools.map(async pool => pool[Symbol.asyncDispose]()));
 }
 
 process.once('disconnect', () => {
