--- a/packages/bench/src/fuzz/workload.ts
+++ b/packages/bench/src/fuzz/workload.ts
@@ -78,14 +78,14 @@
 	async #sendOne(worker: number, caller: SessionCaller): Promise<void> {
 		const {operations} = this;
 		const counter = this.#random.integer(counterCount);
-		const choices: ReadonlyArray<readonly [weight: number, run: () => Promise<void>]> = [
+		const choices: ReadonlyArray<readonly [weight: number, run: () => Promise<unknown>]> = [
 			[20, () => operations.insert(caller)],
 			[25, () => operations.readOwn(caller, this.#random.integer(2) === 0)],
 			[10, () => operations.append(caller, counter)],
 			[10, () => operations.appendWithKey([caller, this.#getCaller(worker, this.#pickHost(), caller.session)], counter)],
 			[8, () => operations.pair(caller)],
 			[2, () => operations.pair(caller, 'ROLLBACK')],
-			[1, () => operations.pair(caller, 'close')],
+			[3, () => operations.pair(caller, 'close')],
 			[10, () => operations.readPair(caller, this.#pickPair())],
 			[7, () => operations.readConstant(caller)],
 			[7, () => operations.readConstant(caller, true)],
--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -5,7 +5,7 @@
 import {CallerListener} from '../connection/caller/index.js';
 import {PostgresInstanceControl} from '../connection/control/index.js';
 import {PeerUpstreamGateway, ReadIndexService} from '../connection/gateway/index.js';
-import {PeerKeys, TcpPeerNetwork} from '../connection/peer/index.js';
+import {PeerExperience, PeerKeys, TcpPeerNetwork} from '../connection/peer/index.js';
 import {UpstreamConnection, UpstreamPool} from '../connection/upstream/index.js';
 import {
 	GroupMonitor, InstanceControlDirectory, MajorityTermConfirmation, Promoter,
@@ -27,6 +27,9 @@
 /** Time limit of a question for the status of an instance, in milliseconds. */
 const statusTimeoutMilliseconds = 100;
 
+/** Time that the links get to deliver their last replies at a graceful shutdown, in milliseconds. */
+const linkDrainMilliseconds = 1000;
+
 /** Database name of control connections and pooled connections. Instances serve one database. */
 const upstreamDatabase = 'tarragon';
 
@@ -152,7 +155,15 @@
 		});
 		this.#executors = this.#createExecutors();
 		this.#gateway = new PeerUpstreamGateway({
-			ownName: settings.host.name, localExecutor: this.#executors, peerNetwork: this.#network, metrics: this.#metrics,
+			ownName: settings.host.name,
+			localExecutor: this.#executors,
+			peerNetwork: this.#network,
+			metrics: this.#metrics,
+			subscribeToLostPeers: listener => this.#network.subscribeToExperiences((host, experience) => {
+				if (experience !== PeerExperience.Connected) {
+					listener(host);
+				}
+			}),
 		});
 		this.#readIndexService = this.#createReadIndexService();
 		this.#listener = this.#createListener();
@@ -212,6 +223,7 @@
 		this.#listener.stopAccepting();
 		await this.#listener.drain(this.#settings.shutdownGraceMilliseconds);
 		await this.#executors.drain();
+		await this.#network.drain(linkDrainMilliseconds);
 		await this[Symbol.asyncDispose]();
 		this.#logger.info('shutdown complete');
 	}
@@ -220,6 +232,7 @@
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#promoter[Symbol.dispose]();
 		this.#readIndexService[Symbol.dispose]();
+		this.#gateway[Symbol.dispose]();
 		await this.#listener[Symbol.asyncDispose]();
 		await this.#admin[Symbol.asyncDispose]();
 		await this.#executors[Symbol.asyncDispose]();
--- a/packages/daemon/src/process/instance-scheduler-unit-runner.ts
+++ b/packages/daemon/src/process/instance-scheduler-unit-runner.ts
@@ -1,5 +1,5 @@
 import {
-	AcknowledgementMode, RefusalReason, RequestKind, TransactionStatus, Verdict, type LogPosition, type UpstreamResult,
+	AcknowledgementMode, RefusalReason, RequestKind, TransactionStatus, Verdict, waitAtMost, type LogPosition, type UpstreamResult,
 } from '@tarragonstack/core';
 import {type Result} from 'neverthrow';
 import {BackendMessageReader, BackendMessageType} from '../connection/upstream/backend-message-reader.js';
@@ -58,6 +58,7 @@
 			{
 				requestIdentifier: request.requestIdentifier,
 				givenUpAt,
+				needsPrimary: request.kind !== RequestKind.Read,
 				// A write that nobody waits for runs to its end, so that its outcome is not left to chance.
 				...(request.kind !== RequestKind.Write && {signal}),
 			},
@@ -198,7 +199,7 @@
 			{
 				sink: discardingSink, hiddenParseCompletes: [], holdMode: HoldMode.Completion, readyCount: statements.length,
 			},
-			{requestIdentifier: job.request.requestIdentifier, givenUpAt: job.givenUpAt},
+			{requestIdentifier: job.request.requestIdentifier, givenUpAt: job.givenUpAt, needsPrimary: true},
 		);
 	}
 
@@ -218,14 +219,11 @@
 		}
 
 		const {timerService} = this.#options;
-		const controller = new AbortController();
 		const limit = Math.max(minimumReceiveMilliseconds, givenUpAt - timerService.now());
 		try {
-			await Promise.race([sink.write(messages), timerService.sleep(limit, controller.signal)]);
+			await waitAtMost(sink.write(messages), limit, timerService);
 		} catch {
 			// The receiver is gone. The result still tells what happened.
-		} finally {
-			controller.abort();
 		}
 	}
 
--- a/packages/daemon/src/process/instance-scheduler.ts
+++ b/packages/daemon/src/process/instance-scheduler.ts
@@ -1,5 +1,5 @@
 import {
-	MetricName, RefusalReason, RequestKind, TransactionStatus, Verdict,
+	MetricName, RefusalReason, RequestKind, TransactionStatus, Verdict, waitAtMost,
 	type Refusal, type ResponseSink, type UpstreamLoad, type UpstreamRequest, type UpstreamResult,
 } from '@tarragonstack/core';
 import {type Result} from 'neverthrow';
@@ -30,6 +30,12 @@
  */
 const defaultExtraStatements = 1;
 
+/**
+ * Time that running writes and transactions get when another instance becomes the primary, in milliseconds. An instance
+ * that still answers ends them by itself. One that is cut off would hold their callers until the time limit of the rank.
+ */
+const replacedPrimaryGraceMilliseconds = 300;
+
 const defaultMaximumQueueEntries = 2000;
 const defaultMaximumQueueBytes = 33_554_432;
 
@@ -48,6 +54,8 @@
 	/** Idempotency keys in use on this host, with the end of the request that uses them. */
 	readonly #keysInUse = new Map<string, Promise<void>>();
 	readonly #limitSubscription: Disposable;
+	readonly #primarySubscription: Disposable;
+	#closing: Disposable | undefined;
 	#idle: Deferred | undefined;
 	#refusal: Refusal | undefined;
 
@@ -70,6 +78,12 @@
 		this.#limitSubscription = timerService.subscribe(limitIntervalMilliseconds, () => {
 			this.#adaptLimits();
 		});
+		this.#primarySubscription = options.groupView.subscribe((group, primary) => {
+			if (group === options.group && primary.instance !== options.instance) {
+				this.#closing?.[Symbol.dispose]();
+				this.#closing = this.#guard.closeRunningOnPrimary(replacedPrimaryGraceMilliseconds);
+			}
+		});
 	}
 
 	/** Requests that are not answered yet. */
@@ -165,18 +179,15 @@
 		}
 
 		this.#idle ??= createDeferred();
-		const controller = new AbortController();
-		await Promise.race([
-			this.#idle.promise,
-			this.#options.timerService.sleep(timeoutMilliseconds, controller.signal),
-		]);
-		controller.abort();
+		await waitAtMost(this.#idle.promise, timeoutMilliseconds, this.#options.timerService);
 	}
 
 	/** Refuses what waits, rolls back what is open and closes the connections. */
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#refusal ??= {reason: RefusalReason.Stopping, message: 'the host no longer serves the instance'};
 		this.#limitSubscription[Symbol.dispose]();
+		this.#primarySubscription[Symbol.dispose]();
+		this.#closing?.[Symbol.dispose]();
 		this.#queue.close();
 		for (const identifier of this.#transactions.identifiers) {
 			this.abandonTransaction(identifier);
@@ -253,10 +264,9 @@
 		const key = getStoredKey(job.request);
 		for (let user = this.#keysInUse.get(key); user; user = this.#keysInUse.get(key)) {
 			// The instance would make the second insertion wait for the first transaction, in a slot.
-			const controller = new AbortController();
-			await Promise.race([user, this.#sleepUntil(job.givenUpAt, controller.signal)]);
-			controller.abort();
-			if (this.#options.timerService.now() >= job.givenUpAt) {
+			const {timerService} = this.#options;
+			await waitAtMost(user, job.givenUpAt - timerService.now(), timerService);
+			if (timerService.now() >= job.givenUpAt) {
 				return getNotRun({
 					reason: RefusalReason.DeadlineExceeded, message: 'the first request with the idempotency key is still running',
 				});
@@ -447,10 +457,6 @@
 		return Math.min(connectionTimeoutMilliseconds, job.givenUpAt - this.#options.timerService.now());
 	}
 
-	async #sleepUntil(time: number, signal: AbortSignal): Promise<void> {
-		await this.#options.timerService.sleep(time - this.#options.timerService.now(), signal);
-	}
-
 	#adaptLimits(): void {
 		const status = this.#options.groupView.getStatus(this.#options.instance);
 		const slots = status?.slots ?? this.#options.slots;
