Trust only confirmed primaries when a peer announces a false one

Cause: a message primary-changed with a false, greater term was believed for good; writes of the group then ended (found by the input fuzzing).

Change: hosts that poll the group ignore such messages, and a primary from a fresh read index counts even against an announced greater term.

Figures: new routing test; 43 tests of routing and the gateway pass.

A host that does not poll the group still makes one wasted hop for each write until it restarts or the real term passes the false one.

--- a/packages/daemon/src/connection/gateway/read-index-service.ts
+++ b/packages/daemon/src/connection/gateway/read-index-service.ts
@@ -48,7 +48,7 @@
 
 	/** Registers the handlers for the questions of other hosts. */
 	register(): void {
-		const {groupView, peerNetwork} = this.#options;
+		const {groupView, isMonitored, peerNetwork} = this.#options;
 		peerNetwork.handle(PeerMessageKind.ReadIndex, async body => {
 			const {group, timeoutMilliseconds} = readIndexQuestionSchema.parse(body);
 			const readIndex = await this.#confirm(group, timeoutMilliseconds);
@@ -56,7 +56,10 @@
 		});
 		peerNetwork.handle(PeerMessageKind.PrimaryChanged, async body => {
 			const {group, primary} = primaryChangedSchema.parse(body);
-			groupView.learnPrimary(group, primary);
+			// A host that polls the group finds the primary by itself, so a wrong message cannot mislead the confirmations.
+			if (!isMonitored(group)) {
+				groupView.learnPrimary(group, primary);
+			}
 		});
 	}
 
--- a/packages/daemon/src/request/routing/request-router.ts
+++ b/packages/daemon/src/request/routing/request-router.ts
@@ -329,9 +329,8 @@
 			const readIndex = await readIndexClient.get(group, 0, execution.end - timerService.now(), execution.signal);
 			if (readIndex) {
 				groupView.learnPrimary(group, readIndex.primary);
-				if (readIndex.primary.term >= refusedTerm) {
-					return readIndex.primary;
-				}
+				// A majority has confirmed this primary, so it counts even if a peer announced a greater term.
+				return readIndex.primary;
 			}
 
 			await this.#pause(execution);
--- a/packages/daemon/tests/request/routing/request-router.test.ts
+++ b/packages/daemon/tests/request/routing/request-router.test.ts
@@ -29,6 +29,7 @@
 	readonly session: CallerSession = {floors: new Map()};
 	primary: PrimaryView = {instance: 'a', term: 1};
 	confirmed: LogPosition = {term: 1, index: 10};
+	confirmedPrimary: PrimaryView | undefined;
 	readonly router = this.#createRouter();
 	answer: (request: UpstreamRequest) => Answer = () => ({});
 
@@ -78,7 +79,7 @@
 			configurationStore: {getCurrent: () => snapshot, subscribe: () => ({[Symbol.dispose]() {}})},
 			groupView,
 			gateway,
-			readIndexClient: new ReadIndexClient({request: async () => ok({primary: this.primary, position: this.confirmed})}, timerService),
+			readIndexClient: new ReadIndexClient({request: async () => ok({primary: this.confirmedPrimary ?? this.primary, position: this.confirmed})}, timerService),
 			loadTable: new UpstreamLoadTable(timerService),
 			getOwner: instance => `host-of-${instance}`,
 			isLeaving: instance => this.leaving.has(instance),
@@ -142,6 +143,17 @@
 		expect(result.verdict).toBe(Verdict.Ran);
 	});
 
+	it('finds the confirmed primary although a peer announced a false one, which guards against writes that stop for good', async () => {
+		const harness = new RouterHarness();
+		const confirmed = harness.primary;
+		harness.confirmedPrimary = confirmed;
+		harness.primary = {instance: 'b', term: 999};
+		harness.answer = ({upstream}) => upstream === 'b' ? notRun(RefusalReason.NotPrimary) : {};
+		const result = await harness.run({kind: RequestKind.Write});
+		expect(harness.targets).toEqual(['b', 'a']);
+		expect(result.verdict).toBe(Verdict.Ran);
+	});
+
 	it('refuses a write as not run when no primary appears in time', async () => {
 		const harness = new RouterHarness();
 		harness.answer = () => notRun(RefusalReason.NotPrimary);
