--- a/packages/bench/src/experiment/checks.ts
+++ b/packages/bench/src/experiment/checks.ts
@@ -34,8 +34,8 @@
  * @param outcome - Outcome of an experiment.
  * @param rank - Rank.
  */
-export function getOnTimeUtilization({ranks, deployment, measuredMilliseconds}: ExperimentOutcome, rank: Rank): number {
-	return ranks[rank]!.onTime / (getCapacity(deployment) * measuredMilliseconds / 1000);
+export function getOnTimeUtilization({ended, deployment, measuredMilliseconds}: ExperimentOutcome, rank: Rank): number {
+	return ended[rank]!.onTime / (getCapacity(deployment) * measuredMilliseconds / 1000);
 }
 
 /**
@@ -54,7 +54,7 @@
  * @param outcome - Outcome of an experiment.
  */
 export function checkFloors(outcome: ExperimentOutcome): Check[] {
-	const {contract, ranks, measuredMilliseconds, deployment} = outcome;
+	const {contract, ranks, ended, measuredMilliseconds, deployment} = outcome;
 	const others = [Rank.Middle, Rank.Least];
 	let floors = 0;
 	for (const rank of others) {
@@ -66,7 +66,7 @@
 		atLeast('urgent, on time, share of the capacity less the floors', getOnTimeUtilization(outcome, Rank.Urgent) / (1 - floors), 0.9),
 		...others.map(rank => {
 			const floor = Math.min(contract.ranks[rank].floorShare, ranks[rank]!.offered / capacity);
-			return atLeast(`${rank}, answered, share of its floor (${serviceMilliseconds} ms a statement)`, (ranks[rank]!.onTime + ranks[rank]!.late) / capacity / floor, 1);
+			return atLeast(`${rank}, answered, share of its floor (${serviceMilliseconds} ms a statement)`, (ended[rank]!.onTime + ended[rank]!.late) / capacity / floor, 1);
 		}),
 	];
 }
--- a/packages/bench/src/experiment/experiment.ts
+++ b/packages/bench/src/experiment/experiment.ts
@@ -42,6 +42,11 @@
 	readonly records: readonly RequestRecord[];
 	readonly measuredMilliseconds: number;
 	readonly ranks: Readonly<Record<string, RankFigures>>;
+	/**
+	 * Figures of the requests that ended in the measured interval. They tell how the capacity of the interval was used; work
+	 * that is queued when the load ends has all slots for itself and would count too much.
+	 */
+	readonly ended: Readonly<Record<string, RankFigures>>;
 	readonly replicaReadShare: number;
 	/** Longest time without an acknowledged write after each loss of a primary, or of each group. */
 	readonly writeGapsMilliseconds: readonly number[];
--- a/packages/bench/src/experiment/run-experiment.ts
+++ b/packages/bench/src/experiment/run-experiment.ts
@@ -135,6 +135,7 @@
 		records,
 		measuredMilliseconds: duration - warmUp,
 		ranks,
+		ended: getAllRankFigures(allRecords.filter(record => hasEndedBetween(record, warmUp, duration)), contract.ranks),
 		replicaReadShare: replicaReads / Math.max(1, replicaReads + primaryReads),
 		writeGapsMilliseconds: getWriteGaps(records, context, warmUp, duration),
 		refundTotal: Object.values(ranks).reduce((sum, {refund}) => sum + refund, 0),
@@ -196,6 +197,10 @@
 	return records.filter(({arrival}) => arrival >= from && arrival < to);
 }
 
+function hasEndedBetween({arrival, latency}: RequestRecord, from: number, to: number): boolean {
+	return arrival + latency >= from && arrival + latency < to;
+}
+
 /** Returns the gap after each loss of a primary; without losses, the longest gap of each group. */
 function getWriteGaps(records: readonly RequestRecord[], {losses, fleet}: ExperimentContext, startTime: number, endTime: number): number[] {
 	const tracker = new WriteGapTracker(startTime);
