Refuse a part of a flood on the entry host

Change: adaptive throttling for each group, rank and kind on the entry host: while the owners refuse most requests, only 1.3 times as many as they accept are sent.

--- a/packages/daemon/src/request/routing/index.ts
+++ b/packages/daemon/src/request/routing/index.ts
@@ -1,3 +1,4 @@
+export * from './adaptive-throttle.js';
 export * from './read-index-client.js';
 export type * from './read-index-source.js';
 export * from './request-router.js';
--- a/packages/daemon/src/request/routing/request-router.ts
+++ b/packages/daemon/src/request/routing/request-router.ts
@@ -8,6 +8,7 @@
 import {type GroupView, type PrimaryView} from '../group-view.js';
 import {type UpstreamGateway} from '../instance-executor.js';
 import {type ReadIndexClient} from './read-index-client.js';
+import {AdaptiveThrottle} from './adaptive-throttle.js';
 import {createNotRunResult} from './refusals.js';
 import {RetryBudget} from './retry-budget.js';
 import {type UpstreamLoadTable} from './upstream-load-table.js';
@@ -30,6 +31,19 @@
 /** Reasons after which a request for the primary waits for a newer view instead of using the retry budget. */
 const primaryUnknownReasons: ReadonlySet<RefusalReason> = new Set([RefusalReason.NotPrimary, RefusalReason.NotOwner, RefusalReason.NoUpstream]);
 
+/** Retry hint of a request that was refused on the entry host, in milliseconds. The throttle forgets a flood in this time. */
+const throttledRetryMilliseconds = 800;
+
+const throttledResult: UpstreamResult = {
+	verdict: Verdict.NotRun,
+	transactionStatus: TransactionStatus.Idle,
+	refusal: {
+		reason: RefusalReason.Overloaded,
+		message: 'the group is overloaded with requests of this rank',
+		retryAfterMilliseconds: throttledRetryMilliseconds,
+	},
+};
+
 /** What the router depends on. */
 export type RequestRouterOptions = {
 	readonly configurationStore: ConfigurationStore;
@@ -62,6 +76,7 @@
 export class RequestRouter implements RequestExecutor {
 	readonly #options: RequestRouterOptions;
 	readonly #retryBudgets = new Map<string, RetryBudget>();
+	readonly #throttles = new Map<string, AdaptiveThrottle>();
 	/** Owner to which each request in progress was sent last. */
 	readonly #ownersInProgress = new Map<string, string>();
 	readonly #handlers: Readonly<Record<RequestKind, (execution: Execution) => Promise<UpstreamResult>>> = {
@@ -93,9 +108,19 @@
 			signal,
 			end: request.arrivedAt + request.terms.timeoutMilliseconds,
 		};
+		const throttle = this.#getThrottle(request);
+		// A unit of an open transaction is never refused here, because its connection and its locks are already held.
+		if (!session.transaction && throttle.shouldRefuse()) {
+			return throttledResult;
+		}
+
 		this.#getRetryBudget(request).countRequest();
 		try {
 			const result = await this.#handlers[request.kind](execution);
+			if (result.refusal?.reason !== RefusalReason.Overloaded) {
+				throttle.countAccepted();
+			}
+
 			this.#raiseFloor(session, request.group, result.position);
 			return result;
 		} finally {
@@ -360,6 +385,17 @@
 		}
 	}
 
+	#getThrottle({group, rank, kind}: CallerRequest): AdaptiveThrottle {
+		const key = `${group}/${rank}/${kind}`;
+		let throttle = this.#throttles.get(key);
+		if (!throttle) {
+			throttle = new AdaptiveThrottle(this.#options.timerService, this.#options.random);
+			this.#throttles.set(key, throttle);
+		}
+
+		return throttle;
+	}
+
 	/** Each rank has a budget of its own, so that refusals of a flooded rank leave the retries of the others alone. */
 	#getRetryBudget({group, rank}: CallerRequest): RetryBudget {
 		const key = `${group}/${rank}`;
