--- a/packages/daemon/src/request/routing/request-router.ts
+++ b/packages/daemon/src/request/routing/request-router.ts
@@ -122,6 +122,7 @@
 			}
 
 			this.#raiseFloor(session, request.group, result.position);
+			this.#logUnknownOutcome(request, result);
 			return result;
 		} finally {
 			this.#ownersInProgress.delete(request.requestIdentifier);
@@ -385,6 +386,13 @@
 		}
 	}
 
+	/** Operators look for these lines when a customer asks what became of a write. */
+	#logUnknownOutcome({requestIdentifier, customer, rank, group}: CallerRequest, {verdict, refusal}: UpstreamResult): void {
+		if (verdict === Verdict.MayHaveRun) {
+			this.#options.logger.warn({request: requestIdentifier, customer, rank, group, cause: refusal?.message ?? ''}, 'the outcome of a request is unknown');
+		}
+	}
+
 	#getThrottle({group, rank, kind}: CallerRequest): AdaptiveThrottle {
 		const key = `${group}/${rank}/${kind}`;
 		let throttle = this.#throttles.get(key);
