--- a/packages/bench/src/slopes/measure-slopes.ts
+++ b/packages/bench/src/slopes/measure-slopes.ts
@@ -1,11 +1,12 @@
-import {setTimeout as sleep} from 'node:timers/promises';
-import {type Contract} from '@tarragonstack/core';
+import {SystemTimerService, type Contract} from '@tarragonstack/core';
 import pg from 'pg';
 import {Fleet, type Deployment} from '../fleet/index.js';
 import {Dimension} from './dimension.js';
 import {HostUsageMeter, type HostUsage} from './host-usage.js';
 import {fitLine, type LinearFit} from './linear-fit.js';
 
+const timerService = new SystemTimerService();
+
 /** Time between the start of a fleet and the measurement, in milliseconds, so that start-up work does not count. */
 const settleMilliseconds = 6000;
 
@@ -117,10 +118,10 @@
 
 /** Reads the memory and the processor time after the garbage of the start has had time to go. */
 async function measureAtRest(fleet: Fleet, x: number): Promise<SlopePoint> {
-	await sleep(settleMilliseconds);
+	await timerService.sleep(settleMilliseconds);
 	const meter = new HostUsageMeter(fleet);
 	await meter.start();
-	await sleep(measureMilliseconds);
+	await timerService.sleep(measureMilliseconds);
 	return {x, ...await meter.finish()};
 }
 
@@ -135,13 +136,13 @@
 	await using writer = await connectDisposable(fleet.getConnectionString('host-1', group));
 	await writer.client.query('INSERT INTO orders (id, state) VALUES (\'slope\', \'new\')');
 	const meter = new HostUsageMeter(fleet);
-	const end = performance.now() + measureMilliseconds;
+	const end = timerService.now() + measureMilliseconds;
 	await meter.start();
 	const counts = await Promise.all(Array.from({length: clientCount}, async (_, index) => {
 		const host = fleet.hosts[index % fleet.hosts.length]!.name;
 		await using reader = await connectDisposable(fleet.getConnectionString(host, group));
 		let count = 0;
-		for (; performance.now() < end; count++) {
+		for (; timerService.now() < end; count++) {
 			await reader.client.query('SELECT state FROM orders WHERE id = \'slope\'');
 		}
 
--- a/packages/bench/tests/path/protocol-features.test.ts
+++ b/packages/bench/tests/path/protocol-features.test.ts
@@ -4,9 +4,17 @@
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {DeploymentName, deployments, Fleet, loadContracts} from '../../src/fleet/index.js';
 
+const duplicateInsert = 'INSERT INTO items (id, text) VALUES (\'i1\', \'again\')';
 const timerService = new SystemTimerService();
 const deployment = {...deployments[DeploymentName.Ronquido], groups: ['subs-core-1'], hostCount: 2};
 
+/** The part of the driver's connection that sends a cancel request. */
+type DriverConnection = {
+	connect(port: number, host: string): void;
+	cancel(processIdentifier: number, secretKey: number): void;
+	on(event: string, listener: () => void): void;
+};
+
 describe('an unmodified pg client through two hosts', () => {
 	let fleet: Fleet;
 
@@ -60,11 +68,11 @@
 			},
 			{guards: 'a large result that is cut', run: async (client: Client) => (await client.query('SELECT * FROM items')).rows.length, expected: 300},
 			{guards: 'COPY that hangs', run: async (client: Client) => getSqlState(client.query('COPY items FROM STDIN')), expected: '0A000'},
-			{guards: 'an error of the database that is changed', run: async (client: Client) => getSqlState(client.query('INSERT INTO items (id, text) VALUES (\'i1\', \'again\')')), expected: '23505'},
+			{guards: 'an error of the database that is changed', run: async (client: Client) => getSqlState(client.query(duplicateInsert)), expected: '23505'},
 			{
 				guards: 'a connection that is unusable after an error',
 				async run(client: Client) {
-					await getSqlState(client.query('INSERT INTO items (id, text) VALUES (\'i1\', \'again\')'));
+					await getSqlState(client.query(duplicateInsert));
 					return (await client.query('SELECT id FROM items WHERE id = \'i1\'')).rows.length;
 				},
 				expected: 1,
@@ -84,7 +92,7 @@
 				guards: 'a failed transaction that goes on',
 				async run(client: Client) {
 					await client.query('BEGIN');
-					await getSqlState(client.query('INSERT INTO items (id, text) VALUES (\'i1\', \'again\')'));
+					await getSqlState(client.query(duplicateInsert));
 					const state = await getSqlState(client.query('SELECT id FROM items WHERE id = \'i1\''));
 					await client.query('ROLLBACK');
 					return state;
@@ -105,7 +113,7 @@
 			await timerService.sleep(300);
 			const [address, port] = fleet.getHostOrThrow(host).callerAddress.split(':');
 			const {processID, secretKey} = client as unknown as {processID: number; secretKey: number};
-			const {connection} = canceller as unknown as {connection: {connect(port: number, host: string): void; cancel(processID: number, secretKey: number): void; on(event: string, listener: () => void): void}};
+			const {connection} = canceller as unknown as {connection: DriverConnection};
 			connection.on('connect', () => {
 				connection.cancel(processID, secretKey);
 			});
--- a/packages/daemon/src/connection/caller/caller-connection.ts
+++ b/packages/daemon/src/connection/caller/caller-connection.ts
@@ -33,7 +33,7 @@
 export type CallerConnectionOptions = {
 	readonly configurationStore: ConfigurationStore;
 	readonly executor: RequestExecutor;
-	readonly timers: TimerService;
+	readonly timerService: TimerService;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 	readonly tls?: TlsOptions;
@@ -101,7 +101,7 @@
 	constructor(socket: Socket, options: CallerConnectionOptions) {
 		this.#socket = socket;
 		this.#options = options;
-		this.#reader = new FrontEndReader(options.timers);
+		this.#reader = new FrontEndReader(options.timerService);
 		this.#output = this.#createOutput(socket);
 	}
 
@@ -147,9 +147,9 @@
 	}
 
 	async #logIn(): Promise<void> {
-		const {timers, cancelKeys, configurationStore, tls, admit} = this.#options;
+		const {timerService, cancelKeys, configurationStore, tls, admit} = this.#options;
 		const acceptedSocket = this.#socket;
-		using _timeout = timers.schedule(loginTimeoutMilliseconds, () => {
+		using _timeout = timerService.schedule(loginTimeoutMilliseconds, () => {
 			acceptedSocket.destroy();
 		});
 		const cancelKey = cancelKeys.issue(() => {
@@ -178,8 +178,8 @@
 	}
 
 	#createOutput(socket: Socket): CallerOutput {
-		const {timers, stallTimeoutMilliseconds} = this.#options;
-		return new CallerOutput({socket, timers, stallTimeoutMilliseconds, ended: this.#reader.ended});
+		const {timerService, stallTimeoutMilliseconds} = this.#options;
+		return new CallerOutput({socket, timerService, stallTimeoutMilliseconds, ended: this.#reader.ended});
 	}
 
 	#cancelRunningRequest(): void {
@@ -268,7 +268,7 @@
 	}
 
 	async #serveExtended(messages: readonly FrontEndMessage[]): Promise<Next> {
-		const arrivedAt = messages[0]?.arrivedAt ?? this.#options.timers.now();
+		const arrivedAt = messages[0]?.arrivedAt ?? this.#options.timerService.now();
 		return this.#serveUnit(buildExtendedUnit(messages, arrivedAt, this.#getUnitContext()));
 	}
 
@@ -357,7 +357,7 @@
 		this.#portals = unit.portals;
 		this.#isSkipping = !unit.isSimple && sink.hasError;
 		await this.#takeResult(result, plan, prepared.value.request);
-		const duration = this.#options.timers.now() - prepared.value.request.arrivedAt;
+		const duration = this.#options.timerService.now() - prepared.value.request.arrivedAt;
 		recordRequest(this.#options.metrics, prepared.value.request, result, duration);
 	}
 
@@ -398,7 +398,7 @@
 			...(retryAfterMilliseconds !== undefined && {hint: `retry after ${Math.ceil(retryAfterMilliseconds)} ms`}),
 		}));
 		if (plan.beginsTransaction && !isOpen) {
-			this.#beginRefusedAt = this.#options.timers.now();
+			this.#beginRefusedAt = this.#options.timerService.now();
 		}
 	}
 
@@ -489,7 +489,7 @@
 		socket.once('close', () => {
 			closed.abort();
 		});
-		await this.#options.timers.sleep(lingerMilliseconds, closed.signal);
+		await this.#options.timerService.sleep(lingerMilliseconds, closed.signal);
 		socket.destroy();
 	}
 }
--- a/packages/daemon/src/connection/caller/caller-listener.ts
+++ b/packages/daemon/src/connection/caller/caller-listener.ts
@@ -27,7 +27,7 @@
 	readonly stallTimeoutMilliseconds?: number;
 	readonly configurationStore: ConfigurationStore;
 	readonly executor: RequestExecutor;
-	readonly timers: TimerService;
+	readonly timerService: TimerService;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 };
@@ -87,7 +87,7 @@
 			connection.beginDrain();
 		}
 
-		using _grace = this.#options.timers.schedule(graceMilliseconds, () => {
+		using _grace = this.#options.timerService.schedule(graceMilliseconds, () => {
 			for (const connection of this.#connections.keys()) {
 				connection.endGrace();
 			}
--- a/packages/daemon/src/connection/caller/caller-output.ts
+++ b/packages/daemon/src/connection/caller/caller-output.ts
@@ -6,7 +6,7 @@
 /** Options of the output to a caller. */
 export type CallerOutputOptions = {
 	readonly socket: Socket;
-	readonly timers: TimerService;
+	readonly timerService: TimerService;
 	/** Aborted when the connection ended; later bytes are discarded. */
 	readonly ended: AbortSignal;
 	/** Time after which a caller that reads nothing is disconnected, in milliseconds. */
@@ -31,14 +31,14 @@
 	 * @returns A promise that resolves when the socket can take more, or when the connection ended.
 	 */
 	async write(bytes: Uint8Array): Promise<void> {
-		const {socket, timers, ended, stallTimeoutMilliseconds} = this.#options;
+		const {socket, timerService, ended, stallTimeoutMilliseconds} = this.#options;
 		corkUntilNextTurn(socket);
 		if (ended.aborted || socket.write(bytes)) {
 			return;
 		}
 
 		// The unread response holds a connection and a slot upstream, which other callers need.
-		using _stall = timers.schedule(stallTimeoutMilliseconds, () => {
+		using _stall = timerService.schedule(stallTimeoutMilliseconds, () => {
 			socket.destroy();
 		});
 		try {
--- a/packages/daemon/src/connection/caller/front-end-reader.ts
+++ b/packages/daemon/src/connection/caller/front-end-reader.ts
@@ -29,7 +29,7 @@
 
 /** Splits the bytes of a caller's socket into messages. Reads ahead only up to a bound. */
 export class FrontEndReader {
-	readonly #timers: TimerService;
+	readonly #timerService: TimerService;
 	readonly #ended = new AbortController();
 	#socket?: Socket;
 	#chunks: Chunk[] = [];
@@ -37,10 +37,10 @@
 	#wake?: () => void;
 
 	/**
-	 * @param timers - Source of arrival times.
+	 * @param timerService - Source of arrival times.
 	 */
-	constructor(timers: TimerService) {
-		this.#timers = timers;
+	constructor(timerService: TimerService) {
+		this.#timerService = timerService;
 	}
 
 	/** Aborted when the socket ended or `close` was called. */
@@ -139,7 +139,7 @@
 			return;
 		}
 
-		this.#chunks.push({bytes, arrivedAt: this.#timers.now()});
+		this.#chunks.push({bytes, arrivedAt: this.#timerService.now()});
 		this.#bufferedBytes += bytes.length;
 		if (this.#wake) {
 			this.#wake();
@@ -176,7 +176,7 @@
 	}
 
 	#take(length: number): Chunk {
-		const arrivedAt = this.#chunks[0]?.arrivedAt ?? this.#timers.now();
+		const arrivedAt = this.#chunks[0]?.arrivedAt ?? this.#timerService.now();
 		const parts: Buffer[] = [];
 		let used = 0;
 		let missing = length;
--- a/packages/daemon/src/connection/control/postgres-instance-control.ts
+++ b/packages/daemon/src/connection/control/postgres-instance-control.ts
@@ -25,7 +25,7 @@
 
 /** Options of a control connection. */
 export type PostgresInstanceControlOptions = {
-	readonly timers: TimerService;
+	readonly timerService: TimerService;
 	readonly instance: InstanceDefinition;
 	/** Address of this host, from which the connection leaves. */
 	readonly localAddress: string;
@@ -120,9 +120,9 @@
 			return err(this.#createError(ControlErrorKind.Closed, 'the control connection is closed'));
 		}
 
-		const askedAt = this.#options.timers.now();
+		const askedAt = this.#options.timerService.now();
 		const answer = await new Promise<Result<ControlRow, ControlError>>(resolve => {
-			const limit = this.#options.timers.schedule(options.timeoutMilliseconds, () => {
+			const limit = this.#options.timerService.schedule(options.timeoutMilliseconds, () => {
 				this.#expire(question);
 			});
 			const question: Question = {
@@ -152,7 +152,7 @@
 	}
 
 	#expire(question: Question): void {
-		const silent = this.#options.timers.now() - question.askedAt >= silenceLimitMilliseconds
+		const silent = this.#options.timerService.now() - question.askedAt >= silenceLimitMilliseconds
 			&& this.#lastAnswerAt < question.askedAt;
 		question.settle(err(this.#createError(ControlErrorKind.TimedOut, 'no answer in time')));
 		if (question.sent && silent) {
@@ -182,7 +182,7 @@
 	}
 
 	#recordAnswer(): void {
-		this.#lastAnswerAt = this.#options.timers.now();
+		this.#lastAnswerAt = this.#options.timerService.now();
 		this.#reconnectDelayMilliseconds = 0;
 	}
 
@@ -191,7 +191,7 @@
 		while (!signal.aborted) {
 			await this.#connectOnce();
 			const random = this.#options.random ?? Math.random;
-			await this.#options.timers.sleep(this.#reconnectDelayMilliseconds * (0.5 + (random() / 2)), signal);
+			await this.#options.timerService.sleep(this.#reconnectDelayMilliseconds * (0.5 + (random() / 2)), signal);
 			this.#reconnectDelayMilliseconds = Math.min(
 				maximumReconnectDelayMilliseconds,
 				Math.max(minimumReconnectDelayMilliseconds, this.#reconnectDelayMilliseconds * 2),
--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -134,10 +134,10 @@
 		this.#ownership = new RendezvousOwnershipTable(this.#directory, this.#configuration);
 		this.#controls = new InstanceControlDirectory(instance => this.#createControl(instance));
 		this.#monitor = new GroupMonitor({
-			timers: timerService, configuration: this.#configuration, ownership: this.#ownership, controls: this.#controls,
+			timerService, configuration: this.#configuration, ownership: this.#ownership, controls: this.#controls,
 		});
 		this.#confirmation = new MajorityTermConfirmation({
-			timers: timerService,
+			timerService,
 			configuration: this.#configuration,
 			controls: this.#controls,
 			onStatus: (group, status) => {
@@ -146,7 +146,7 @@
 		});
 		this.#promoter = new Promoter({
 			hostName: settings.host.name,
-			timers: timerService,
+			timerService,
 			monitor: this.#monitor,
 			ownership: this.#ownership,
 			controls: this.#controls,
@@ -278,7 +278,7 @@
 
 	#createControl(instance: InstanceDefinition): PostgresInstanceControl {
 		return new PostgresInstanceControl({
-			timers: this.#timerService,
+			timerService: this.#timerService,
 			instance,
 			localAddress: this.#settings.address,
 			...this.#settings.upstreams,
@@ -360,7 +360,7 @@
 			...(callers.tls && {tls: readCallerKeys(callers.tls)}),
 			configurationStore: this.#configuration,
 			executor,
-			timers: this.#timerService,
+			timerService: this.#timerService,
 			logger: this.#logger,
 			metrics: this.#metrics,
 		});
--- a/packages/daemon/src/request/failover/follow-reconciler.ts
+++ b/packages/daemon/src/request/failover/follow-reconciler.ts
@@ -23,7 +23,7 @@
 
 /** Dependencies of the reconciler. */
 export type FollowReconcilerOptions = {
-	readonly timers: TimerService;
+	readonly timerService: TimerService;
 	readonly monitor: GroupMonitor;
 	readonly metrics: Metrics;
 	readonly logger?: Logger;
@@ -49,14 +49,14 @@
 	 * @param order - Place of this host in the promotion order.
 	 */
 	reconcile(group: GroupDefinition, order: number): void {
-		const {monitor, timers} = this.#options;
+		const {monitor, timerService} = this.#options;
 		const primary = monitor.getPrimary(group.name);
 		const definition = group.instances.find(instance => instance.name === primary?.instance);
 		if (!primary || !definition || monitor.getGreatestTerm(group) > primary.term) {
 			return;
 		}
 
-		const now = timers.now();
+		const now = timerService.now();
 		for (const member of group.instances) {
 			const status = monitor.getStatus(member.name);
 			if (member === definition || !status || isFollowing(status, primary.term, definition.address)) {
--- a/packages/daemon/src/request/failover/group-confirmations.ts
+++ b/packages/daemon/src/request/failover/group-confirmations.ts
@@ -36,7 +36,7 @@
 
 /** Dependencies of the confirmations of one group. */
 export type GroupConfirmationsOptions = {
-	readonly timers: TimerService;
+	readonly timerService: TimerService;
 	getControl(instance: string): InstanceControl | undefined;
 	/** Receives every status. */
 	onStatus(status: InstanceStatus): void;
@@ -91,7 +91,7 @@
 				resolve(result);
 			};
 
-			const limit = this.#options.timers.schedule(options.timeoutMilliseconds, () => {
+			const limit = this.#options.timerService.schedule(options.timeoutMilliseconds, () => {
 				pending.expire(waiter);
 				if (pending.waiting === 0) {
 					this.#pending.delete(key);
@@ -102,7 +102,7 @@
 				return;
 			}
 
-			const now = this.#options.timers.now();
+			const now = this.#options.timerService.now();
 			for (const member of this.#members) {
 				// The call needs a new question to every member, so the other calls need not be looked at.
 				this.#askAt(member, now, this.#getEarliestQuestionTime(member, now));
@@ -124,7 +124,7 @@
 	}
 
 	#pump(member: Member): void {
-		const now = this.#options.timers.now();
+		const now = this.#options.timerService.now();
 		const newest = Math.max(-1, ...member.underWay.keys());
 		const waiting = [...this.#pending.values()].filter(pending => pending.begunAt >= newest && pending.needs(member.name));
 		if (waiting.length === 0) {
@@ -148,7 +148,7 @@
 
 		member.timer?.[Symbol.dispose]();
 		member.scheduledAt = time;
-		member.timer = this.#options.timers.schedule(time - now, () => {
+		member.timer = this.#options.timerService.schedule(time - now, () => {
 			member.scheduledAt = Number.POSITIVE_INFINITY;
 			this.#pump(member);
 		});
@@ -180,7 +180,7 @@
 		member.underWay.set(number, now);
 		const answer = await control.status({timeoutMilliseconds: questionTimeoutMilliseconds});
 		member.underWay.delete(number);
-		const answeredAt = this.#options.timers.now();
+		const answeredAt = this.#options.timerService.now();
 		if (answer.isOk()) {
 			member.roundTripMilliseconds += roundTripWeight * (answeredAt - now - member.roundTripMilliseconds);
 			this.#options.onStatus(answer.value);
--- a/packages/daemon/src/request/failover/group-monitor.ts
+++ b/packages/daemon/src/request/failover/group-monitor.ts
@@ -21,7 +21,7 @@
 
 /** Dependencies of the group monitor. */
 export type GroupMonitorOptions = {
-	readonly timers: TimerService;
+	readonly timerService: TimerService;
 	readonly configuration: ConfigurationStore;
 	readonly ownership: GroupOwnership;
 	readonly controls: InstanceControlDirectory;
@@ -200,7 +200,7 @@
 		}
 
 		for (const name of ended) {
-			this.#retained.set(name, this.#options.timers.schedule(controlGraceMilliseconds, () => {
+			this.#retained.set(name, this.#options.timerService.schedule(controlGraceMilliseconds, () => {
 				this.#retained.delete(name);
 				this.#refresh();
 			}));
@@ -217,7 +217,7 @@
 		void this.#ask(group, instance, contact);
 		// While a member fails, the short interval keeps the time until detection independent of the size of the fleet.
 		const interval = this.#isFailing(group) ? minimumStatusPollIntervalMilliseconds : this.#intervalMilliseconds;
-		this.#polls.set(instance, this.#options.timers.schedule(interval, () => {
+		this.#polls.set(instance, this.#options.timerService.schedule(interval, () => {
 			this.#poll(group, instance);
 		}));
 	}
@@ -237,7 +237,7 @@
 			return;
 		}
 
-		contact.recordQuestion(this.#options.timers.now());
+		contact.recordQuestion(this.#options.timerService.now());
 		const answer = await control.status({timeoutMilliseconds: statusPollTimeoutMilliseconds});
 		if (this.#contacts.get(instance) !== contact) {
 			return;
--- a/packages/daemon/src/request/failover/majority-term-confirmation.ts
+++ b/packages/daemon/src/request/failover/majority-term-confirmation.ts
@@ -9,7 +9,7 @@
 
 /** Dependencies of the term confirmation. */
 export type MajorityTermConfirmationOptions = {
-	readonly timers: TimerService;
+	readonly timerService: TimerService;
 	readonly configuration: ConfigurationStore;
 	readonly controls: InstanceControlDirectory;
 	/** Receives every status that a confirmation obtained; the group monitor takes it over. */
@@ -65,7 +65,7 @@
 
 		// Calls that began under the previous members end at their own time limit.
 		const created = new GroupConfirmations(members, {
-			timers: this.#options.timers,
+			timerService: this.#options.timerService,
 			getControl: instance => this.#options.controls.getControl(instance),
 			onStatus: status => {
 				this.#options.onStatus?.(group, status);
--- a/packages/daemon/src/request/failover/promoter.ts
+++ b/packages/daemon/src/request/failover/promoter.ts
@@ -52,7 +52,7 @@
 /** Dependencies of the promoter. */
 export type PromoterOptions = {
 	readonly hostName: string;
-	readonly timers: TimerService;
+	readonly timerService: TimerService;
 	readonly monitor: GroupMonitor;
 	readonly ownership: GroupOwnership;
 	readonly controls: InstanceControlDirectory;
@@ -78,12 +78,12 @@
 	 */
 	constructor(options: PromoterOptions) {
 		this.#options = options;
-		const {timers, monitor, metrics, logger} = options;
-		this.#lastAssessmentAt = timers.now();
+		const {timerService, monitor, metrics, logger} = options;
+		this.#lastAssessmentAt = timerService.now();
 		this.#reconciler = new FollowReconciler({
-			timers, monitor, metrics, logger, getControl: instance => options.controls.getControl(instance),
+			timerService, monitor, metrics, logger, getControl: instance => options.controls.getControl(instance),
 		});
-		this.#subscription = timers.subscribe(assessmentIntervalMilliseconds, () => {
+		this.#subscription = timerService.subscribe(assessmentIntervalMilliseconds, () => {
 			this.#assess();
 		});
 	}
@@ -119,8 +119,8 @@
 	}
 
 	#assess(): void {
-		const {timers, monitor, ownership} = this.#options;
-		const now = timers.now();
+		const {timerService, monitor, ownership} = this.#options;
+		const now = timerService.now();
 		const gap = now - this.#lastAssessmentAt - assessmentIntervalMilliseconds;
 		this.#lastAssessmentAt = now;
 		if (gap > eventLoopGapMilliseconds) {
@@ -169,14 +169,14 @@
 		state: GroupState,
 		request: {readonly planned: boolean; readonly requested?: string},
 	): Promise<Result<PrimaryView, PromotionError>> {
-		const {timers, monitor, controls, hostName, random} = this.#options;
+		const {timerService, monitor, controls, hostName, random} = this.#options;
 		this.#attempts++;
 		state.running = true;
 		const present = monitor.getPrimary(group.name)?.instance;
-		const startedAt = timers.now();
+		const startedAt = timerService.now();
 		const term = monitor.getGreatestTerm(group) + 1;
 		const attempt = new PromotionAttempt({
-			timers,
+			timerService,
 			group,
 			term,
 			promoter: `${hostName}/${this.#processIdentifier}/${this.#attempts}`,
@@ -192,7 +192,7 @@
 			},
 		});
 		const result = await attempt.run();
-		const now = timers.now();
+		const now = timerService.now();
 		state.running = false;
 		state.since = now;
 		const wait = minimumRetryMilliseconds
@@ -215,18 +215,18 @@
 
 	#getState(group: string): GroupState {
 		const state = this.#states.get(group)
-			?? {condition: GroupCondition.Healthy, since: this.#options.timers.now(), notBefore: 0, running: false};
+			?? {condition: GroupCondition.Healthy, since: this.#options.timerService.now(), notBefore: 0, running: false};
 		this.#states.set(group, state);
 		return state;
 	}
 
 	#getKnowledge(group: GroupDefinition): GroupKnowledge {
-		const {monitor, timers} = this.#options;
+		const {monitor, timerService} = this.#options;
 		return {
 			group,
 			primary: monitor.getPrimary(group.name),
 			greatestTerm: monitor.getGreatestTerm(group),
-			now: timers.now(),
+			now: timerService.now(),
 			getStatus: instance => monitor.getStatus(instance),
 			getContact: instance => monitor.getContact(instance),
 		};
--- a/packages/daemon/src/request/failover/promotion-attempt.ts
+++ b/packages/daemon/src/request/failover/promotion-attempt.ts
@@ -40,7 +40,7 @@
 
 /** One attempt to promote an instance. */
 export type PromotionAttemptOptions = {
-	readonly timers: TimerService;
+	readonly timerService: TimerService;
 	readonly group: GroupDefinition;
 	/** Term to raise; greater than all known terms. */
 	readonly term: number;
@@ -70,7 +70,7 @@
 	 */
 	constructor(options: PromotionAttemptOptions) {
 		this.#options = options;
-		this.#startedAt = options.timers.now();
+		this.#startedAt = options.timerService.now();
 	}
 
 	/** Runs the attempt. Returns the status of the new primary. */
@@ -91,7 +91,7 @@
 			return err(PromotionError.NoMajority);
 		}
 
-		if (this.#options.timers.now() - this.#startedAt > attemptLimitMilliseconds) {
+		if (this.#options.timerService.now() - this.#startedAt > attemptLimitMilliseconds) {
 			return err(PromotionError.TooSlow);
 		}
 
@@ -111,7 +111,7 @@
 
 	/** Raises the term on the other members. Returns when all answered, or shortly after a majority accepted. */
 	async #raiseAll(): Promise<void> {
-		const {timers, group} = this.#options;
+		const {timerService, group} = this.#options;
 		const majority = getMajority(group.instances.length);
 		const grace = new AbortController();
 		const others = group.instances.filter(instance => !this.#raised.has(instance.name));
@@ -130,21 +130,21 @@
 			})();
 		});
 		await majorityReached;
-		await timers.sleep(raiseGraceMilliseconds, grace.signal);
+		await timerService.sleep(raiseGraceMilliseconds, grace.signal);
 	}
 
 	async #waitForReplica(primary: string, position: LogPosition): Promise<void> {
-		const {timers, group, preferences} = this.#options;
+		const {timerService, group, preferences} = this.#options;
 		const candidates = group.instances.filter(instance => instance.name !== primary
 			&& (preferences.requested === undefined ? !instance.leaving : instance.name === preferences.requested));
-		const end = timers.now() + catchUpLimitMilliseconds;
-		while (timers.now() < end) {
+		const end = timerService.now() + catchUpLimitMilliseconds;
+		while (timerService.now() < end) {
 			const answers = await Promise.all(candidates.map(instance => this.#isAt(instance.name, position)));
 			if (answers.includes(true)) {
 				return;
 			}
 
-			await timers.sleep(catchUpPollMilliseconds);
+			await timerService.sleep(catchUpPollMilliseconds);
 		}
 	}
 
--- a/packages/daemon/tests/connection/caller/drain.test.ts
+++ b/packages/daemon/tests/connection/caller/drain.test.ts
@@ -22,7 +22,7 @@
 		caller.socket.write(Buffer.concat([serialize.query('SELECT 1'), serialize.query('SELECT 2')]));
 		await harness.until(() => harness.executor.requests.length === 1);
 		const drained = harness.listener.drain(grace);
-		await harness.timers.sleep(100);
+		await harness.timerService.sleep(100);
 		expect(harness.executor.signals[0]?.aborted).toBe(false);
 		open();
 		await drained;
@@ -36,7 +36,7 @@
 		const client = await harness.connect();
 		await client.query('BEGIN');
 		const drained = harness.listener.drain(10_000);
-		await harness.timers.sleep(30);
+		await harness.timerService.sleep(30);
 		await client.query('INSERT INTO a VALUES (1)');
 		expect(await client.query('COMMIT')).toMatchObject({command: 'COMMIT'});
 		await drained;
--- a/packages/daemon/tests/connection/caller/harness.ts
+++ b/packages/daemon/tests/connection/caller/harness.ts
@@ -92,7 +92,7 @@
 	readonly executor = new FakeExecutor();
 	readonly metrics: RecordedMetric[] = [];
 	readonly store: FakeConfigurationStore;
-	readonly timers = new SystemTimerService();
+	readonly timerService = new SystemTimerService();
 	readonly listener: CallerListener;
 	port = 0;
 	readonly #clients: pg.Client[] = [];
@@ -110,7 +110,7 @@
 			port: 0,
 			configurationStore: this.store,
 			executor: this.executor,
-			timers: this.timers,
+			timerService: this.timerService,
 			logger,
 			metrics: {increment: record, histogram: record, gauge: record},
 			...options,
@@ -163,13 +163,13 @@
 
 	/** Waits until a condition holds. */
 	async until(condition: () => boolean, milliseconds = 5000): Promise<void> {
-		const end = this.timers.now() + milliseconds;
+		const end = this.timerService.now() + milliseconds;
 		while (!condition()) {
-			if (this.timers.now() > end) {
+			if (this.timerService.now() > end) {
 				throw new Error(`condition not met within ${milliseconds} ms`);
 			}
 
-			await this.timers.sleep(2);
+			await this.timerService.sleep(2);
 		}
 	}
 
--- a/packages/daemon/tests/connection/caller/options.test.ts
+++ b/packages/daemon/tests/connection/caller/options.test.ts
@@ -149,7 +149,7 @@
 		await using harness = await Harness.start();
 		const client = await harness.connect();
 		harness.executor.override = async () => {
-			await harness.timers.sleep(60);
+			await harness.timerService.sleep(60);
 			return {verdict: Verdict.Ran, transactionStatus: TransactionStatus.Idle};
 		};
 
--- a/packages/daemon/tests/connection/caller/units.test.ts
+++ b/packages/daemon/tests/connection/caller/units.test.ts
@@ -182,7 +182,7 @@
 		let most = 0;
 		harness.executor.override = async () => {
 			most = Math.max(most, ++running);
-			await harness.timers.sleep(1);
+			await harness.timerService.sleep(1);
 			running--;
 			return undefined;
 		};
@@ -201,7 +201,7 @@
 		caller.socket.setNoDelay(true);
 		for (const byte of Buffer.concat([serialize.parse({text: 'SELECT 1'}), serialize.bind(), serialize.execute(), serialize.sync()])) {
 			caller.socket.write(Buffer.from([byte]));
-			await harness.timers.sleep(1);
+			await harness.timerService.sleep(1);
 		}
 
 		await caller.waitFor('Z');
@@ -219,7 +219,7 @@
 			caller.socket.write(query);
 		}
 
-		await harness.timers.sleep(300);
+		await harness.timerService.sleep(300);
 		// The kernel's socket buffers hold a few megabytes; the rest must still wait at the caller.
 		expect(caller.socket.writableLength).toBeGreaterThan(total * query.length / 2);
 		open();
@@ -279,7 +279,7 @@
 		const query = client.query('SELECT 1');
 		stream.pause();
 		await harness.until(() => written > 5);
-		await harness.timers.sleep(300);
+		await harness.timerService.sleep(300);
 		// The kernel's socket buffers take some rows; the rest of the 62 MiB must wait at the executor.
 		expect(written).toBeLessThan(300);
 		stream.resume();
--- a/packages/daemon/tests/connection/control/failover-over-tcp.test.ts
+++ b/packages/daemon/tests/connection/control/failover-over-tcp.test.ts
@@ -53,7 +53,7 @@
 		return created;
 	}
 
-	readonly timers = new SystemTimerService();
+	readonly timerService = new SystemTimerService();
 	readonly definition;
 	readonly group;
 	readonly hosts: SimulatedHost[] = [];
@@ -68,7 +68,7 @@
 			instances: definition.instances.map((instance, index) =>
 				({...instance, address: `127.0.0.1:${servers[index]?.getPort() ?? 0}`})),
 		};
-		this.group = new SimulatedGroup(this.definition, this.timers);
+		this.group = new SimulatedGroup(this.definition, this.timerService);
 	}
 
 	/** Ends the process of an instance: connections are reset and further ones refused. */
@@ -79,12 +79,12 @@
 
 	/** Waits until a condition holds. */
 	async waitFor(condition: () => boolean, limitMilliseconds: number): Promise<number> {
-		const start = this.timers.now();
-		while (!condition() && this.timers.now() - start < limitMilliseconds) {
-			await this.timers.sleep(2);
+		const start = this.timerService.now();
+		while (!condition() && this.timerService.now() - start < limitMilliseconds) {
+			await this.timerService.sleep(2);
 		}
 
-		return this.timers.now() - start;
+		return this.timerService.now() - start;
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
@@ -101,10 +101,10 @@
 	#start(): void {
 		this.group.initialize();
 		for (const instance of this.group.instances) {
-			instance.lastHeardAt = this.timers.now();
+			instance.lastHeardAt = this.timerService.now();
 		}
 
-		this.#replication = this.timers.subscribe(10, () => {
+		this.#replication = this.timerService.subscribe(10, () => {
 			for (const instance of this.group.instances) {
 				this.group.replicate(instance, 1000);
 			}
@@ -113,7 +113,7 @@
 			const instance = this.group.instances[index];
 			server.onQuery = (connection, query) => {
 				if (instance) {
-					connection.socket.write(createAnswer(execute(this.group, instance, query, this.timers.now())));
+					connection.socket.write(createAnswer(execute(this.group, instance, query, this.timerService.now())));
 				}
 			};
 		}
@@ -122,10 +122,10 @@
 			this.hosts.push(new SimulatedHost({
 				name: `host-${order + 1}`,
 				order,
-				timers: this.timers,
+				timerService: this.timerService,
 				definition: this.definition,
 				controls: new InstanceControlDirectory(instance => new PostgresInstanceControl({
-					timers: this.timers,
+					timerService: this.timerService,
 					instance,
 					localAddress: `127.0.0.${order + 11}`,
 					user: 'tarragon',
@@ -141,7 +141,7 @@
 	it('replaces a killed primary within 500 ms (a wrong classification of socket errors would wait for the time-out)', async () => {
 		await using tcp = await TcpGroup.create(3);
 		await tcp.waitFor(() => tcp.hosts.every(host => host.monitor.getPrimary(groupName)), 2000);
-		await tcp.timers.sleep(200);
+		await tcp.timerService.sleep(200);
 		await tcp.kill('db-1');
 		const isReplaced = () => tcp.group.instances.some(instance => instance.alive && instance.role === InstanceRole.Primary);
 		const milliseconds = await tcp.waitFor(isReplaced, 5000);
@@ -160,11 +160,11 @@
 		await using tcp = await TcpGroup.create(3);
 		await tcp.waitFor(() => tcp.hosts.every(host => host.monitor.getPrimary(groupName)), 2000);
 		const [host] = tcp.hosts;
-		const start = tcp.timers.now();
+		const start = tcp.timerService.now();
 		const results = await Promise.all(Array.from({length: 2000}, async () => host?.confirmation.confirm(groupName, 'db-1', {
 			expectedTerm: 1, replicated: true, timeoutMilliseconds: 1000,
 		})));
-		process.stdout.write(`failover over TCP: 2000 confirmations at once in ${Math.round(tcp.timers.now() - start)} ms\n`);
+		process.stdout.write(`failover over TCP: 2000 confirmations at once in ${Math.round(tcp.timerService.now() - start)} ms\n`);
 		expect(results.every(result => result?.isOk())).toBe(true);
 	});
 
@@ -175,9 +175,9 @@
 			tcp.group.write(tcp.group.getInstance('db-1'), `write-${index}`);
 		}
 
-		const start = tcp.timers.now();
+		const start = tcp.timerService.now();
 		const promoted = await tcp.hosts[0]?.promoter.promoteManually(groupName, 'db-3');
-		process.stdout.write(`failover over TCP: planned switchover in ${Math.round(tcp.timers.now() - start)} ms\n`);
+		process.stdout.write(`failover over TCP: planned switchover in ${Math.round(tcp.timerService.now() - start)} ms\n`);
 		expect(promoted?._unsafeUnwrap()).toEqual({instance: 'db-3', term: 2});
 		expect(tcp.group.getInstance('db-3').log).toHaveLength(50);
 	});
--- a/packages/daemon/tests/connection/control/postgres-instance-control.test.ts
+++ b/packages/daemon/tests/connection/control/postgres-instance-control.test.ts
@@ -29,12 +29,12 @@
 	return settled._unsafeUnwrap();
 }
 
-const timers = new SystemTimerService();
+const timerService = new SystemTimerService();
 const resources: Array<() => Promise<void>> = [];
 
 function createControl(port: number): PostgresInstanceControl {
 	const control = new PostgresInstanceControl({
-		timers,
+		timerService,
 		instance: {
 			name: 'db-1', address: `127.0.0.1:${port}`, availabilityZone: 'a', slots: 3, connectionLimit: 20, leaving: false,
 		},
--- a/packages/daemon/tests/request/failover/fencing-model.test.ts
+++ b/packages/daemon/tests/request/failover/fencing-model.test.ts
@@ -70,7 +70,7 @@
 });
 
 class Model {
-	readonly timers = new ManualTimerService();
+	readonly timerService = new ManualTimerService();
 	readonly acknowledgements: Acknowledgement[] = [];
 	readonly group;
 	readonly transport;
@@ -88,9 +88,9 @@
 			...definition,
 			instances: definition.instances.map((instance, index) => ({...instance, leaving: index === leavingMember})),
 		};
-		this.group = new SimulatedGroup(this.#definition, this.timers);
+		this.group = new SimulatedGroup(this.#definition, this.timerService);
 		this.group.initialize();
-		this.transport = new PooledTransport(this.group, this.timers);
+		this.transport = new PooledTransport(this.group, this.timerService);
 		this.hosts = Array.from({length: hostCount}, (_, order) => this.#createHost(order));
 	}
 
@@ -98,20 +98,20 @@
 		await this.settle();
 		for (const step of steps) {
 			await this.#apply(step);
-			await this.timers.advance(0);
+			await this.timerService.advance(0);
 		}
 	}
 
 	/** Lets every message arrive for some time. */
 	async settle(milliseconds = 100): Promise<void> {
 		for (let elapsed = 0; elapsed < milliseconds; elapsed += settleStepMilliseconds) {
-			await this.timers.advance(settleStepMilliseconds);
+			await this.timerService.advance(settleStepMilliseconds);
 			for (const instance of this.group.instances) {
 				this.group.replicate(instance, 100);
 			}
 
 			this.transport.deliverAll();
-			await this.timers.advance(0);
+			await this.timerService.advance(0);
 			this.transport.deliverAll();
 		}
 	}
@@ -125,15 +125,15 @@
 		}
 
 		for (const host of this.hosts) {
-			host.timers.resume();
+			host.timerService.resume();
 		}
 	}
 
 	/** Returns whether a new write is acknowledged within the given time. */
 	async waitForWrite(milliseconds: number): Promise<boolean> {
 		const firstWrite = this.#writes + 1;
-		const end = this.timers.now() + milliseconds;
-		while (this.timers.now() < end) {
+		const end = this.timerService.now() + milliseconds;
+		while (this.timerService.now() < end) {
 			void this.#write(this.#pick(this.hosts, 0), true);
 			await this.settle(100);
 			if (this.acknowledgements.some(({number}) => number >= firstWrite)) {
@@ -160,7 +160,7 @@
 		return new SimulatedHost({
 			name: `host-${order + 1}`,
 			order,
-			timers: this.timers,
+			timerService: this.timerService,
 			definition: this.#definition,
 			group: this.group,
 			transport: this.transport,
@@ -191,7 +191,7 @@
 			[Action.Drop]: () => {
 				this.transport.take(step.first);
 			},
-			[Action.Advance]: () => this.timers.advance(step.first % 120),
+			[Action.Advance]: () => this.timerService.advance(step.first % 120),
 			[Action.Replicate]: () => {
 				this.group.replicate(instance, 1 + (step.first % 3));
 			},
@@ -211,10 +211,10 @@
 				instance.alive = true;
 			},
 			[Action.PauseHost]() {
-				host.timers.paused = true;
+				host.timerService.paused = true;
 			},
 			[Action.ResumeHost]() {
-				host.timers.resume();
+				host.timerService.resume();
 			},
 			[Action.RestartHost]: async () => {
 				await host.stop();
@@ -253,7 +253,7 @@
 			instance => this.group.write(instance, identifier),
 			{timeoutMilliseconds: 1000},
 		);
-		await host.timers.waitUntilResumed();
+		await host.timerService.waitUntilResumed();
 		if (!written.unwrapOr(false)) {
 			return;
 		}
--- a/packages/daemon/tests/request/failover/group-monitor.test.ts
+++ b/packages/daemon/tests/request/failover/group-monitor.test.ts
@@ -9,24 +9,24 @@
 const groupName = 'group-1';
 
 function createScenario() {
-	const timers = new ManualTimerService();
+	const timerService = new ManualTimerService();
 	const definition = createGroupDefinition(3);
-	const group = new SimulatedGroup(definition, timers);
+	const group = new SimulatedGroup(definition, timerService);
 	group.initialize();
-	const transport = new TimedTransport(group, timers);
+	const transport = new TimedTransport(group, timerService);
 	const host = new SimulatedHost({
-		name: 'host-1', order: 0, timers, definition, group, transport,
+		name: 'host-1', order: 0, timerService, definition, group, transport,
 	});
 	host.promoter[Symbol.dispose]();
 	return {
-		timers, group, transport, host, monitor: host.monitor,
+		timerService, group, transport, host, monitor: host.monitor,
 	};
 }
 
 describe('GroupMonitor', () => {
 	it('polls every member every 50 ms and finds the primary', async () => {
-		const {timers, transport, monitor, host} = createScenario();
-		await timers.advance(1000);
+		const {timerService, transport, monitor, host} = createScenario();
+		await timerService.advance(1000);
 		expect(monitor.getPrimary(groupName)).toEqual({instance: 'db-1', term: 1});
 		for (const name of ['db-1', 'db-2', 'db-3']) {
 			expect(transport.arrivals.get(name)).toBeGreaterThanOrEqual(19);
@@ -59,16 +59,16 @@
 	});
 
 	it('keeps the primary of the greatest term, whether polled or learned, and reports changes once', async () => {
-		const {timers, monitor, host} = createScenario();
+		const {timerService, monitor, host} = createScenario();
 		const changes: PrimaryView[] = [];
 		const subscription = monitor.subscribe((_, primary) => {
 			changes.push(primary);
 		});
-		await timers.advance(60);
+		await timerService.advance(60);
 		monitor.learnPrimary(groupName, {instance: 'db-2', term: 2});
 		monitor.learnPrimary(groupName, {instance: 'db-3', term: 1});
 		// The polls still find the old primary.
-		await timers.advance(200);
+		await timerService.advance(200);
 		subscription[Symbol.dispose]();
 		monitor.learnPrimary(groupName, {instance: 'db-3', term: 3});
 		expect(changes).toEqual([{instance: 'db-1', term: 1}, {instance: 'db-2', term: 2}]);
@@ -86,17 +86,17 @@
 	});
 
 	it('counts the time without an answer and the refused attempts, and forgets both with an answer', async () => {
-		const {timers, transport, monitor, host} = createScenario();
-		await timers.advance(100);
+		const {timerService, transport, monitor, host} = createScenario();
+		await timerService.advance(100);
 		transport.links.set('host-1 db-1', LinkState.Refused);
-		await timers.advance(400);
+		await timerService.advance(400);
 		const contact = monitor.getContact('db-1');
 		expect(contact?.refusedAttempts).toBeGreaterThanOrEqual(2);
-		expect(contact?.getFailureMilliseconds(timers.now())).toBeGreaterThan(340);
+		expect(contact?.getFailureMilliseconds(timerService.now())).toBeGreaterThan(340);
 		transport.links.clear();
-		await timers.advance(60);
+		await timerService.advance(60);
 		expect(contact?.refusedAttempts).toBe(0);
-		expect(contact?.getFailureMilliseconds(timers.now())).toBeLessThan(50);
+		expect(contact?.getFailureMilliseconds(timerService.now())).toBeLessThan(50);
 		await host.stop();
 	});
 });
--- a/packages/daemon/tests/request/failover/majority-term-confirmation.test.ts
+++ b/packages/daemon/tests/request/failover/majority-term-confirmation.test.ts
@@ -8,13 +8,13 @@
 const hosts: SimulatedHost[] = [];
 
 function createScenario(members: number) {
-	const timers = new ManualTimerService();
+	const timerService = new ManualTimerService();
 	const definition = createGroupDefinition(members);
-	const group = new SimulatedGroup(definition, timers);
+	const group = new SimulatedGroup(definition, timerService);
 	group.initialize();
-	const transport = new TimedTransport(group, timers);
+	const transport = new TimedTransport(group, timerService);
 	const host = new SimulatedHost({
-		name: 'host-1', order: 0, timers, definition, group, transport,
+		name: 'host-1', order: 0, timerService, definition, group, transport,
 	});
 	// Only the confirmations may change the state.
 	host.promoter[Symbol.dispose]();
@@ -24,7 +24,7 @@
 			expectedTerm: 1, replicated: false, timeoutMilliseconds: 200, ...options,
 		});
 	return {
-		timers, group, transport, host, confirm,
+		timerService, group, transport, host, confirm,
 	};
 }
 
@@ -97,7 +97,7 @@
 
 describe('MajorityTermConfirmation', () => {
 	it.each(cases)('answers $expected for $guards', async ({members, unreachable, raised, expectedTerm, primary, expected}) => {
-		const {timers, group, transport, confirm} = createScenario(members);
+		const {timerService, group, transport, confirm} = createScenario(members);
 		for (const name of raised ?? []) {
 			group.raise(group.getInstance(name), 2, 'other');
 		}
@@ -107,41 +107,41 @@
 		}
 
 		const confirmation = confirm({expectedTerm: expectedTerm ?? 1}, primary);
-		await timers.advance(300);
+		await timerService.advance(300);
 		const result = await confirmation;
 		expect(result.match(() => 'confirmed', error => error)).toBe(expected);
 	});
 
 	it('ignores answers to questions that were sent before the call (they may precede a promotion)', async () => {
-		const {timers, group, confirm} = createScenario(3);
-		await timers.advance(20);
+		const {timerService, group, confirm} = createScenario(3);
+		await timerService.advance(20);
 		const first = confirm();
 		// The questions of the first call have been answered by the instances, and the answers are under way.
-		await timers.advance(1);
+		await timerService.advance(1);
 		for (const instance of group.instances.slice(1)) {
 			group.raise(instance, 2, 'other');
 		}
 
 		group.promote(group.getInstance('db-2'), 2, 'other');
 		const second = confirm();
-		await timers.advance(100);
+		await timerService.advance(100);
 		const [firstResult, secondResult] = await Promise.all([first, second]);
 		expect(firstResult.isOk()).toBe(true);
 		expect(secondResult._unsafeUnwrapErr()).toBe(ConfirmationError.Replaced);
 	});
 
 	it('serves all waiting calls with one question to each member and waits little longer than a round trip', async () => {
-		const {timers, transport, confirm} = createScenario(3);
-		await timers.advance(20);
+		const {timerService, transport, confirm} = createScenario(3);
+		await timerService.advance(20);
 		const before = new Map(transport.arrivals);
 		let longest = 0;
 		let served = 0;
 		const call = async () => {
-			const start = timers.now();
+			const start = timerService.now();
 			const result = await confirm();
 			if (result.isOk()) {
 				served++;
-				longest = Math.max(longest, timers.now() - start);
+				longest = Math.max(longest, timerService.now() - start);
 			}
 		};
 
@@ -150,10 +150,10 @@
 				void call();
 			}
 
-			await timers.advance(1);
+			await timerService.advance(1);
 		}
 
-		await timers.advance(20);
+		await timerService.advance(20);
 		expect(served).toBe(2000);
 		// The round trip is 2 ms. A member gets at most one question per millisecond for 2000 calls, and polls.
 		expect(longest).toBeLessThanOrEqual(4);
@@ -161,23 +161,23 @@
 	});
 
 	it('keeps asking the other members while the answers of one are lost (a lost answer must not use up the limit)', async () => {
-		const {timers, transport, confirm} = createScenario(3);
+		const {timerService, transport, confirm} = createScenario(3);
 		transport.links.set('host-1 db-3', LinkState.Partitioned);
 		const durations: number[] = [];
 		for (let index = 0; index < 20; index++) {
-			const start = timers.now();
+			const start = timerService.now();
 			const confirmation = confirm();
-			await timers.advance(5);
+			await timerService.advance(5);
 			const result = await confirmation;
 			expect(result.isOk()).toBe(true);
-			durations.push(timers.now() - start);
+			durations.push(timerService.now() - start);
 		}
 
 		expect(Math.max(...durations)).toBeLessThanOrEqual(5);
 	});
 
 	it('waits until a majority holds the write (a promotion must not lose a replicated write)', async () => {
-		const {timers, group, confirm} = createScenario(3);
+		const {timerService, group, confirm} = createScenario(3);
 		group.write(group.getInstance('db-1'), 'write-1');
 		const replicated = confirm({replicated: true});
 		const fenced = confirm();
@@ -187,38 +187,38 @@
 			done = true;
 		})();
 
-		await timers.advance(50);
+		await timerService.advance(50);
 		const fencedResult = await fenced;
 		expect(fencedResult._unsafeUnwrap()).toEqual({term: 1, index: 1});
 		expect(done).toBe(false);
 		// Later writes do not move the position for which the call waits.
 		group.write(group.getInstance('db-1'), 'write-2');
 		group.replicate(group.getInstance('db-3'), 1);
-		await timers.advance(10);
+		await timerService.advance(10);
 		expect(done).toBe(true);
 		const result = await replicated;
 		expect(result._unsafeUnwrap()).toEqual({term: 1, index: 1});
 	});
 
 	it('counts no member that was raised, although it holds the write (its log may be replaced)', async () => {
-		const {timers, group, transport, confirm} = createScenario(3);
+		const {timerService, group, transport, confirm} = createScenario(3);
 		group.write(group.getInstance('db-1'), 'write-1');
 		group.replicate(group.getInstance('db-3'), 1);
 		group.raise(group.getInstance('db-3'), 2, 'other');
 		transport.links.set('host-1 db-2', LinkState.Partitioned);
 		const replicated = confirm({replicated: true});
-		await timers.advance(300);
+		await timerService.advance(300);
 		const result = await replicated;
 		expect(result._unsafeUnwrapErr()).toBe(ConfirmationError.TimedOut);
 	});
 
 	it('asks again after a refused question (a lost control connection must not fail a write that the primary accepted)', async () => {
-		const {timers, transport, confirm} = createScenario(3);
+		const {timerService, transport, confirm} = createScenario(3);
 		transport.links.set('host-1 db-1', LinkState.Refused);
 		const confirmation = confirm();
-		await timers.advance(20);
+		await timerService.advance(20);
 		transport.links.clear();
-		await timers.advance(20);
+		await timerService.advance(20);
 		const result = await confirmation;
 		expect(result.isOk()).toBe(true);
 	});
--- a/packages/daemon/tests/request/failover/pooled-transport.ts
+++ b/packages/daemon/tests/request/failover/pooled-transport.ts
@@ -12,12 +12,12 @@
 	/** Links whose messages are lost, as `host instance`. */
 	readonly partitions = new Set<string>();
 	readonly #group: SimulatedGroup;
-	readonly #timers: TimerService;
+	readonly #timerService: TimerService;
 	#attempts = 0;
 
-	constructor(group: SimulatedGroup, timers: TimerService) {
+	constructor(group: SimulatedGroup, timerService: TimerService) {
 		this.#group = group;
-		this.#timers = timers;
+		this.#timerService = timerService;
 	}
 
 	async call<Value>(
@@ -29,7 +29,7 @@
 		const link = `${host} ${instanceName}`;
 		const instance = this.#group.getInstance(instanceName);
 		return new Promise(resolve => {
-			const limit = this.#timers.schedule(options.timeoutMilliseconds, () => {
+			const limit = this.#timerService.schedule(options.timeoutMilliseconds, () => {
 				resolve(err({kind: ControlErrorKind.TimedOut, message: 'no answer', connectionAttempt: 0}));
 			});
 			const answer = (result: Result<Value, ControlError>) => {
--- a/packages/daemon/tests/request/failover/promoter.test.ts
+++ b/packages/daemon/tests/request/failover/promoter.test.ts
@@ -9,7 +9,7 @@
 const groupName = 'group-1';
 
 class Scenario {
-	readonly timers = new ManualTimerService();
+	readonly timerService = new ManualTimerService();
 	readonly definition;
 	readonly group;
 	readonly transport;
@@ -24,10 +24,10 @@
 			instances: definition.instances.map(instance =>
 				({...instance, leaving: options.leaving?.includes(instance.name) ?? false})),
 		};
-		this.group = new SimulatedGroup(this.definition, this.timers);
-		this.transport = new TimedTransport(this.group, this.timers);
+		this.group = new SimulatedGroup(this.definition, this.timerService);
+		this.transport = new TimedTransport(this.group, this.timerService);
 		this.group.initialize();
-		this.timers.subscribe(10, () => {
+		this.timerService.subscribe(10, () => {
 			for (const instance of this.group.instances) {
 				this.group.replicate(instance, 100);
 			}
@@ -39,7 +39,7 @@
 		return new SimulatedHost({
 			name: `host-${order + 1}`,
 			order,
-			timers: this.timers,
+			timerService: this.timerService,
 			definition: this.definition,
 			group: this.group,
 			transport: this.transport,
@@ -85,13 +85,13 @@
 
 	/** Advances until an instance is promoted beyond the present number of promotions. Returns the time that took. */
 	async waitForPromotion(limit: number): Promise<number> {
-		const start = this.timers.now();
+		const start = this.timerService.now();
 		const before = this.group.promotions.length;
-		while (this.group.promotions.length === before && this.timers.now() - start < limit) {
-			await this.timers.advance(5);
+		while (this.group.promotions.length === before && this.timerService.now() - start < limit) {
+			await this.timerService.advance(5);
 		}
 
-		return this.timers.now() - start;
+		return this.timerService.now() - start;
 	}
 }
 
@@ -101,10 +101,10 @@
 		{members: 5, limit: 350, guards: 'a majority of three among four reachable members'},
 	])('replaces a killed primary of $members within $limit ms ($guards)', async ({members, limit}) => {
 		const scenario = new Scenario(members);
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		scenario.group.getInstance('db-1').alive = false;
 		expect(await scenario.waitForPromotion(3000)).toBeLessThan(limit);
-		await scenario.timers.advance(2000);
+		await scenario.timerService.advance(2000);
 		expect(scenario.getPrimaryTerms()).toEqual([['db-2', 2]]);
 		expect(scenario.hosts.map(host => host.monitor.getPrimary(groupName))).toEqual([
 			{instance: 'db-2', term: 2}, {instance: 'db-2', term: 2},
@@ -114,14 +114,14 @@
 
 	it('replaces a partitioned primary within 1 s and truncates its extra entries when it returns (split brain)', async () => {
 		const scenario = new Scenario(3);
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		scenario.partition('db-1');
 		const old = scenario.group.getInstance('db-1');
 		scenario.group.write(old, 'lost-1');
 		scenario.group.write(old, 'lost-2');
 		expect(await scenario.waitForPromotion(3000)).toBeLessThan(1000);
 		scenario.heal();
-		await scenario.timers.advance(3000);
+		await scenario.timerService.advance(3000);
 		expect(old.role).toBe(InstanceRole.Replica);
 		expect(old.following).toBe(scenario.group.getInstance('db-2').definition.address);
 		expect(old.log).toHaveLength(0);
@@ -132,10 +132,10 @@
 
 	it('keeps the poll budget at the target size and still replaces a partitioned primary within 9 s', async () => {
 		const scenario = new Scenario(3, {otherGroups: 366});
-		await scenario.timers.advance(10_000);
+		await scenario.timerService.advance(10_000);
 		const countArrivals = () => [...scenario.transport.arrivals.values()].reduce((sum, value) => sum + value, 0);
 		const before = countArrivals();
-		await scenario.timers.advance(60_000);
+		await scenario.timerService.advance(60_000);
 		const pollsPerSecondAndHost = (countArrivals() - before) / 60 / scenario.hosts.length;
 		expect(pollsPerSecondAndHost * statusPollBytes).toBeLessThan(statusPollBudgetBytesPerSecond * 1.05);
 		scenario.partition('db-1');
@@ -145,17 +145,17 @@
 
 	it('keeps a stalled primary from which the replicas still hear (a slow host is not a failed one)', async () => {
 		const scenario = new Scenario(3);
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		scenario.group.getInstance('db-1').stalled = true;
-		await scenario.timers.advance(10_000);
+		await scenario.timerService.advance(10_000);
 		expect(scenario.getPrimaryTerms()).toEqual([]);
 	});
 
 	it('keeps a primary that only this host cannot reach', async () => {
 		const scenario = new Scenario(3, {hosts: 1});
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		scenario.transport.links.set('host-1 db-1', LinkState.Partitioned);
-		await scenario.timers.advance(10_000);
+		await scenario.timerService.advance(10_000);
 		expect(scenario.getPrimaryTerms()).toEqual([]);
 	});
 
@@ -163,38 +163,38 @@
 		const scenario = new Scenario(3, {hosts: 0});
 		scenario.transport.links.set('host-1 db-1', LinkState.Partitioned);
 		scenario.hosts.push(scenario.createHost(0));
-		await scenario.timers.advance(10_000);
+		await scenario.timerService.advance(10_000);
 		expect(scenario.getPrimaryTerms()).toEqual([]);
 	});
 
 	it.each([{pause: 300}, {pause: 5000}])('promotes nothing after its own pause of $pause ms (unread answers look like failures)', async ({pause}) => {
 		const scenario = new Scenario(3, {hosts: 1});
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		const host = scenario.getHost(0);
-		host.timers.paused = true;
-		await scenario.timers.advance(pause);
-		host.timers.resume();
-		await scenario.timers.advance(2000);
+		host.timerService.paused = true;
+		await scenario.timerService.advance(pause);
+		host.timerService.resume();
+		await scenario.timerService.advance(2000);
 		expect(scenario.getPrimaryTerms()).toEqual([]);
 	});
 
 	it('promotes nothing when its pause hides that a short partition has ended (old answers seem to prove a failure)', async () => {
 		const scenario = new Scenario(3, {hosts: 1});
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		const host = scenario.getHost(0);
 		scenario.partition('db-1');
-		await scenario.timers.advance(450);
-		host.timers.paused = true;
+		await scenario.timerService.advance(450);
+		host.timerService.paused = true;
 		scenario.heal();
-		await scenario.timers.advance(300);
-		host.timers.resume();
-		await scenario.timers.advance(2000);
+		await scenario.timerService.advance(300);
+		host.timerService.resume();
+		await scenario.timerService.advance(2000);
 		expect(scenario.getPrimaryTerms()).toEqual([]);
 	});
 
 	it('lets the second host promote when the first one does not (a dead promoter must not block the group)', async () => {
 		const scenario = new Scenario(3);
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		await scenario.getHost(0).stop();
 		scenario.group.getInstance('db-1').alive = false;
 		expect(await scenario.waitForPromotion(3000)).toBeLessThan(500);
@@ -206,15 +206,15 @@
 		scenario.hosts.push(scenario.createHost(0), new SimulatedHost({
 			name: 'host-b',
 			order: 0,
-			timers: scenario.timers,
+			timerService: scenario.timerService,
 			definition: scenario.definition,
 			group: scenario.group,
 			transport: scenario.transport,
 			random: () => 0.9,
 		}));
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		scenario.group.getInstance('db-1').alive = false;
-		await scenario.timers.advance(4000);
+		await scenario.timerService.advance(4000);
 		const primaries = scenario.group.instances.filter(instance => instance.alive && instance.role === InstanceRole.Primary);
 		expect(primaries).toHaveLength(1);
 		const terms = scenario.group.promotions.map(promotion => promotion.term);
@@ -223,7 +223,7 @@
 
 	it('goes on with a greater term when the promoter died between raise and promote (a raised term without a primary)', async () => {
 		const scenario = new Scenario(3);
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		scenario.group.getInstance('db-1').alive = false;
 		scenario.group.raise(scenario.group.getInstance('db-2'), 2, 'dead-promoter');
 		scenario.group.raise(scenario.group.getInstance('db-3'), 2, 'dead-promoter');
@@ -233,7 +233,7 @@
 
 	it('goes on when the promoter died after it raised the healthy primary too', async () => {
 		const scenario = new Scenario(3);
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		for (const instance of scenario.group.instances) {
 			scenario.group.raise(instance, 2, 'dead-promoter');
 		}
@@ -244,21 +244,21 @@
 
 	it('brings back a replica that a dead promoter raised, and keeps the primary (the replica no longer replicates)', async () => {
 		const scenario = new Scenario(3);
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		scenario.group.raise(scenario.group.getInstance('db-3'), 2, 'dead-promoter');
-		await scenario.timers.advance(500);
+		await scenario.timerService.advance(500);
 		expect(scenario.getPrimaryTerms()).toEqual([]);
-		await scenario.timers.advance(2000);
+		await scenario.timerService.advance(2000);
 		expect(scenario.getPrimaryTerms()).toEqual([['db-1', 3]]);
 		expect(scenario.getFollowers('db-1')).toEqual(['db-2', 'db-3']);
 	});
 
 	it('promotes the replica with the greatest position (the other one would lose entries)', async () => {
 		const scenario = new Scenario(3);
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		scenario.group.cutReplication.add('db-1 db-2');
 		scenario.group.write(scenario.group.getInstance('db-1'), 'write-1');
-		await scenario.timers.advance(50);
+		await scenario.timerService.advance(50);
 		scenario.group.getInstance('db-1').alive = false;
 		await scenario.waitForPromotion(3000);
 		expect(scenario.getPrimaryTerms()).toEqual([['db-3', 2]]);
@@ -269,15 +269,15 @@
 		{behind: true, expected: [['db-2', 2], ['db-3', 3]], guards: 'entries lost because the better instance is leaving'},
 	])('handles a leaving candidate ($guards)', async ({behind, expected}) => {
 		const scenario = new Scenario(3, {leaving: ['db-2']});
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		if (behind) {
 			scenario.group.cutReplication.add('db-1 db-3');
 			scenario.group.write(scenario.group.getInstance('db-1'), 'write-1');
-			await scenario.timers.advance(50);
+			await scenario.timerService.advance(50);
 		}
 
 		scenario.group.getInstance('db-1').alive = false;
-		await scenario.timers.advance(4000);
+		await scenario.timerService.advance(4000);
 		expect(scenario.getPrimaryTerms()).toEqual(expected);
 		expect(scenario.group.getInstance('db-3').log).toHaveLength(behind ? 1 : 0);
 	});
@@ -286,7 +286,7 @@
 		const scenario = new Scenario(3, {leaving: ['db-1']});
 		let accepted = 0;
 		let unavailableMilliseconds = 0;
-		scenario.timers.subscribe(1, () => {
+		scenario.timerService.subscribe(1, () => {
 			const primary = scenario.group.instances.find(instance => instance.role === InstanceRole.Primary);
 			if (primary && scenario.group.write(primary, `write-${accepted}`)) {
 				accepted++;
@@ -294,7 +294,7 @@
 				unavailableMilliseconds++;
 			}
 		});
-		await scenario.timers.advance(3000);
+		await scenario.timerService.advance(3000);
 		expect(scenario.getPrimaryTerms()).toEqual([['db-2', 2]]);
 		expect(scenario.group.getInstance('db-2').log).toHaveLength(accepted);
 		expect(unavailableMilliseconds).toBeLessThan(100);
@@ -305,21 +305,21 @@
 		{members: 2, guards: 'a group of two'},
 	])('does not promote without a majority in $guards, and the primary returns', async ({members}) => {
 		const scenario = new Scenario(members);
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		const primary = scenario.group.getInstance('db-1');
 		primary.alive = false;
-		await scenario.timers.advance(5000);
+		await scenario.timerService.advance(5000);
 		expect(scenario.getPrimaryTerms()).toEqual([]);
 		primary.alive = true;
-		await scenario.timers.advance(2000);
+		await scenario.timerService.advance(2000);
 		expect(scenario.getHost(0).monitor.getPrimary(groupName)).toEqual({instance: 'db-1', term: 1});
 	});
 
 	it('switches a group of two over by hand (two members are a majority while both work)', async () => {
 		const scenario = new Scenario(2);
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		const result = scenario.getHost(0).promoter.promoteManually(groupName, 'db-2');
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		const promoted = await result;
 		expect(promoted._unsafeUnwrap()).toEqual({instance: 'db-2', term: 2});
 		expect(scenario.getFollowers('db-2')).toEqual(['db-1']);
@@ -333,9 +333,9 @@
 		const scenario = new Scenario(3);
 		scenario.group.cutReplication.add('db-1 db-3');
 		scenario.group.write(scenario.group.getInstance('db-1'), 'write-1');
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		const result = scenario.getHost(0).promoter.promoteManually(group, instance);
-		await scenario.timers.advance(1000);
+		await scenario.timerService.advance(1000);
 		const promoted = await result;
 		expect(promoted._unsafeUnwrapErr()).toBe(error);
 	});
@@ -349,7 +349,7 @@
 		}
 
 		scenario.hosts.push(scenario.createHost(0));
-		await scenario.timers.advance(2000);
+		await scenario.timerService.advance(2000);
 		expect(scenario.getPrimaryTerms()).toEqual([['db-1', 1]]);
 	});
 });
--- a/packages/daemon/tests/request/failover/simulated-group.ts
+++ b/packages/daemon/tests/request/failover/simulated-group.ts
@@ -80,10 +80,10 @@
 	/** Pairs of names between which no replication flows. */
 	readonly cutReplication = new Set<string>();
 	events = 0;
-	readonly #timers: TimerService;
+	readonly #timerService: TimerService;
 
-	constructor(definition: GroupDefinition, timers: TimerService) {
-		this.#timers = timers;
+	constructor(definition: GroupDefinition, timerService: TimerService) {
+		this.#timerService = timerService;
 		this.instances = definition.instances.map(instance => new SimulatedInstance(instance));
 	}
 
@@ -173,7 +173,7 @@
 		}
 
 		this.#truncate(replica);
-		replica.lastHeardAt = this.#timers.now();
+		replica.lastHeardAt = this.#timerService.now();
 		replica.log.push(...source.log.slice(replica.log.length, replica.log.length + entries));
 	}
 
@@ -218,23 +218,23 @@
 /** Control connection over a simulated transport. */
 export class SimulatedInstanceControl implements InstanceControl {
 	readonly #group: SimulatedGroup;
-	readonly #timers: TimerService;
+	readonly #timerService: TimerService;
 	readonly #call: <Value>(operation: InstanceOperation<Value>, options: ControlOptions) => Promise<Result<Value, ControlError>>;
 
 	constructor(
 		group: SimulatedGroup,
-		timers: TimerService,
+		timerService: TimerService,
 		transport: SimulatedTransport,
 		link: {readonly host: string; readonly instance: string},
 	) {
 		this.#group = group;
-		this.#timers = timers;
+		this.#timerService = timerService;
 		this.#call = (operation, options) => transport.call(link.host, link.instance, operation, options);
 	}
 
 	async status(options: ControlOptions): Promise<Result<InstanceStatus, ControlError>> {
-		const observedAt = this.#timers.now();
-		return this.#call(instance => instance.getStatus(this.#timers.now(), observedAt), options);
+		const observedAt = this.#timerService.now();
+		return this.#call(instance => instance.getStatus(this.#timerService.now(), observedAt), options);
 	}
 
 	async raise(term: number, promoter: string, options: ControlOptions): Promise<Result<ControlOutcome, ControlError>> {
@@ -257,10 +257,10 @@
 		operation: InstanceOperation<Value>,
 		options: ControlOptions,
 	): Promise<Result<Value & {status: InstanceStatus}, ControlError>> {
-		const observedAt = this.#timers.now();
+		const observedAt = this.#timerService.now();
 		return this.#call(instance => {
 			const value = operation(instance);
-			return {...value, status: instance.getStatus(this.#timers.now(), observedAt)};
+			return {...value, status: instance.getStatus(this.#timerService.now(), observedAt)};
 		}, options);
 	}
 }
@@ -275,13 +275,13 @@
 	/** Number of operations that arrived, by instance. */
 	readonly arrivals = new Map<string, number>();
 	readonly #group: SimulatedGroup;
-	readonly #timers: TimerService;
+	readonly #timerService: TimerService;
 	readonly #random: () => number;
 	#attempts = 0;
 
-	constructor(group: SimulatedGroup, timers: TimerService, random: () => number = () => 0.5) {
+	constructor(group: SimulatedGroup, timerService: TimerService, random: () => number = () => 0.5) {
 		this.#group = group;
-		this.#timers = timers;
+		this.#timerService = timerService;
 		this.#random = random;
 	}
 
@@ -294,10 +294,10 @@
 		const instance = this.#group.getInstance(instanceName);
 		const getState = () => instance.alive ? this.links.get(`${host} ${instanceName}`) ?? LinkState.Working : LinkState.Refused;
 		return new Promise(resolve => {
-			const limit = this.#timers.schedule(options.timeoutMilliseconds, () => {
+			const limit = this.#timerService.schedule(options.timeoutMilliseconds, () => {
 				resolve(err({kind: ControlErrorKind.TimedOut, message: 'no answer', connectionAttempt: 0}));
 			});
-			this.#timers.schedule(this.oneWayMilliseconds, () => {
+			this.#timerService.schedule(this.oneWayMilliseconds, () => {
 				if (getState() === LinkState.Refused) {
 					this.#attempts++;
 					limit[Symbol.dispose]();
@@ -311,7 +311,7 @@
 
 				this.arrivals.set(instanceName, (this.arrivals.get(instanceName) ?? 0) + 1);
 				const value = operation(instance);
-				this.#timers.schedule(this.oneWayMilliseconds, () => {
+				this.#timerService.schedule(this.oneWayMilliseconds, () => {
 					if (getState() === LinkState.Working && this.#random() >= this.lossProbability) {
 						limit[Symbol.dispose]();
 						resolve(ok(value));
--- a/packages/daemon/tests/request/failover/simulated-host.ts
+++ b/packages/daemon/tests/request/failover/simulated-host.ts
@@ -48,24 +48,24 @@
 /** Timer service of one host, which can be paused as a whole. Calls that become due meanwhile run when it resumes. */
 export class PausableTimerService implements TimerService {
 	paused = false;
-	readonly #timers: TimerService;
+	readonly #timerService: TimerService;
 	readonly #held: Array<() => void> = [];
 
-	constructor(timers: TimerService) {
-		this.#timers = timers;
+	constructor(timerService: TimerService) {
+		this.#timerService = timerService;
 	}
 
 	now(): number {
-		return this.#timers.now();
+		return this.#timerService.now();
 	}
 
 	async sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
-		await this.#timers.sleep(milliseconds, signal);
+		await this.#timerService.sleep(milliseconds, signal);
 		await this.waitUntilResumed();
 	}
 
 	subscribe(intervalMilliseconds: number, callback: (now: number) => void): Disposable {
-		return this.#timers.subscribe(intervalMilliseconds, () => {
+		return this.#timerService.subscribe(intervalMilliseconds, () => {
 			this.#run(() => {
 				callback(this.now());
 			});
@@ -73,7 +73,7 @@
 	}
 
 	schedule(delayMilliseconds: number, callback: () => void): Disposable {
-		return this.#timers.schedule(delayMilliseconds, () => {
+		return this.#timerService.schedule(delayMilliseconds, () => {
 			this.#run(callback);
 		});
 	}
@@ -117,26 +117,26 @@
 
 function createSimulatedControls(
 	name: string,
-	timers: PausableTimerService,
+	timerService: PausableTimerService,
 	group: SimulatedGroup,
 	transport: SimulatedTransport,
 ): InstanceControlDirectory {
-	// Answers, like timers, reach a paused host only when it resumes.
+	// Answers, like timerService, reach a paused host only when it resumes.
 	const pausable: SimulatedTransport = {
 		async call(host, instance, operation, options) {
 			const result = await transport.call(host, instance, operation, options);
-			await timers.waitUntilResumed();
+			await timerService.waitUntilResumed();
 			return result;
 		},
 	};
 	return new InstanceControlDirectory(instance =>
-		new SimulatedInstanceControl(group, timers, pausable, {host: name, instance: instance.name}));
+		new SimulatedInstanceControl(group, timerService, pausable, {host: name, instance: instance.name}));
 }
 
 /** The failover modules of one host over a simulated transport or given control connections. */
 export class SimulatedHost {
 	readonly name: string;
-	readonly timers: PausableTimerService;
+	readonly timerService: PausableTimerService;
 	readonly metrics = new CountingMetrics();
 	readonly controls: InstanceControlDirectory;
 	readonly monitor: GroupMonitor;
@@ -146,7 +146,7 @@
 	constructor(options: {
 		readonly name: string;
 		readonly order: number;
-		readonly timers: TimerService;
+		readonly timerService: TimerService;
 		readonly definition: GroupDefinition;
 		/** Control connections to the instances. */
 		readonly controls: InstanceControlDirectory;
@@ -156,7 +156,7 @@
 	} | {
 		readonly name: string;
 		readonly order: number;
-		readonly timers: TimerService;
+		readonly timerService: TimerService;
 		readonly definition: GroupDefinition;
 		readonly group: SimulatedGroup;
 		readonly transport: SimulatedTransport;
@@ -166,11 +166,11 @@
 	}) {
 		const {name, order, definition} = options;
 		this.name = name;
-		this.timers = new PausableTimerService(options.timers);
-		const {timers} = this;
+		this.timerService = new PausableTimerService(options.timerService);
+		const {timerService} = this;
 		this.controls = 'controls' in options
 			? options.controls
-			: createSimulatedControls(name, timers, options.group, options.transport);
+			: createSimulatedControls(name, timerService, options.group, options.transport);
 		const ownership: GroupOwnership = {
 			getPromotionOrder: () => order,
 			getOwnedInstances: () => definition.instances.slice(0, 1).map(instance => instance.name),
@@ -178,10 +178,10 @@
 		};
 		const configuration = createStore(definition, options.otherGroups ?? 0);
 		this.monitor = new GroupMonitor({
-			timers, configuration, ownership, controls: this.controls,
+			timerService, configuration, ownership, controls: this.controls,
 		});
 		this.confirmation = new MajorityTermConfirmation({
-			timers,
+			timerService,
 			configuration,
 			controls: this.controls,
 			onStatus: (groupName, status) => {
@@ -190,7 +190,7 @@
 		});
 		this.promoter = new Promoter({
 			hostName: name,
-			timers,
+			timerService,
 			monitor: this.monitor,
 			ownership,
 			controls: this.controls,
