--- a/packages/core/src/adapters/index.ts
+++ b/packages/core/src/adapters/index.ts
@@ -2,3 +2,4 @@
 export * from './etcd-key-value-service.js';
 export type * from './key-value-service.js';
 export * from './membership-list.js';
+export * from './shared-store.js';
--- /dev/null
+++ b/packages/core/src/adapters/shared-store.ts
@@ -0,0 +1,90 @@
+import {type Result} from 'neverthrow';
+import {type Verdict} from '../request/verdict.js';
+
+/** Item of the store. */
+export type StoreItem = {
+	readonly key: string;
+	/** Value as UTF-8 text; bytes that are not UTF-8 are replaced. */
+	readonly value: string;
+	/** Revision of the last change; greater than 0. */
+	readonly revision: number;
+};
+
+/** Change of the store: an item as it was written, or the removal of a key. */
+export type StoreChange =
+	| ({readonly removed: false} & StoreItem)
+	| {readonly removed: true; readonly key: string; readonly revision: number};
+
+/** Reasons why a call to the store failed. */
+export enum StoreFailure {
+	/** No answer, or an error of the store. */
+	Unavailable = 'unavailable',
+	/** The changes after the given revision are no longer available. */
+	HistoryGone = 'history-gone',
+	/** The store rejected the call as invalid. */
+	Rejected = 'rejected',
+}
+
+/** Error of a call to the store. */
+export type StoreError = {
+	readonly failure: StoreFailure;
+	/** `MayHaveRun` when a write was sent and no reply arrived. It may still take effect seconds later. */
+	readonly verdict: Verdict;
+	readonly message: string;
+};
+
+/** Items below a prefix. */
+export type StoreSnapshot = {
+	readonly items: readonly StoreItem[];
+	/** Revision of the store at the time of the read. */
+	readonly revision: number;
+};
+
+/** Changes below a prefix. */
+export type StoreChanges = {
+	readonly changes: readonly StoreChange[];
+	/** Revision after which to continue. */
+	readonly revision: number;
+};
+
+/** Change of several keys that takes effect completely or not at all. */
+export type StoreTransaction = {
+	/** Keys with the revisions on which the change is based; 0 when the key must not exist. */
+	readonly expected: ReadonlyArray<{readonly key: string; readonly revision: number}>;
+	readonly writes: ReadonlyArray<{readonly key: string; readonly value: string}>;
+	readonly removals: readonly string[];
+};
+
+/** Outcome of a transaction that was answered. */
+export type StoreTransactionOutcome =
+	| {readonly committed: true; readonly revision: number}
+	/** Current items of the expected keys; keys that do not exist are missing. */
+	| {readonly committed: false; readonly current: readonly StoreItem[]};
+
+/** Linearizable store of the platform that all hosts share. */
+export type SharedStore = {
+	/**
+	 * Reads all items below a prefix.
+	 *
+	 * @param prefix - Start of the keys.
+	 * @param timeoutMilliseconds - Time after which the call fails.
+	 */
+	readRange(prefix: string, timeoutMilliseconds: number): Promise<Result<StoreSnapshot, StoreError>>;
+
+	/**
+	 * Waits for changes below a prefix.
+	 *
+	 * @param prefix - Start of the keys.
+	 * @param afterRevision - Changes up to this revision are not reported.
+	 * @param waitMilliseconds - Time after which the call returns without changes.
+	 */
+	waitForChanges(prefix: string, afterRevision: number, waitMilliseconds: number): Promise<Result<StoreChanges, StoreError>>;
+
+	/**
+	 * Changes several keys under conditions.
+	 *
+	 * @param transaction - Conditions and changes.
+	 * @param timeoutMilliseconds - Time after which the call fails.
+	 */
+	commit(transaction: StoreTransaction, timeoutMilliseconds: number): Promise<Result<StoreTransactionOutcome, StoreError>>;
+};
--- a/packages/core/src/request/index.ts
+++ b/packages/core/src/request/index.ts
@@ -1,5 +1,6 @@
 export * from './acknowledgement-mode.js';
 export * from './log-position.js';
+export * from './log-position-schema.js';
 export * from './rank.js';
 export * from './refusal-reason.js';
 export * from './request-kind.js';
--- a/packages/core/src/request/log-position.ts
+++ b/packages/core/src/request/log-position.ts
@@ -1,13 +1,8 @@
-import {z} from 'zod';
-
-/** Schema of a position in the replicated log of a group. */
-export const logPositionSchema = z.object({
-	term: z.number().int().nonnegative(),
-	index: z.number().int().nonnegative(),
-});
-
 /** Position in the replicated log of a group: the term of the primary and the index of the log entry. */
-export type LogPosition = z.infer<typeof logPositionSchema>;
+export type LogPosition = {
+	readonly term: number;
+	readonly index: number;
+};
 
 /**
  * Compares two positions by term, then by index.
--- /dev/null
+++ b/packages/direct/src/connection/client-codec.ts
@@ -0,0 +1,34 @@
+import {type StatementErrorCode} from '../request/statement-error-code.js';
+import {type StatementResult} from '../request/statement-result.js';
+import {type Statement} from '../request/statement.js';
+
+/** Kinds of messages that a client sends. */
+export enum ClientMessageKind {
+	Startup = 'startup',
+	Statement = 'statement',
+	/** A statement that can't be understood; the session goes on. */
+	InvalidStatement = 'invalid-statement',
+	/** Bytes that can't be understood; the connection ends. */
+	Unreadable = 'unreadable',
+	Terminate = 'terminate',
+}
+
+/** Message of a client. */
+export type ClientMessage =
+	| {readonly kind: ClientMessageKind.Startup; readonly database: string}
+	| {readonly kind: ClientMessageKind.Statement; readonly statement: Statement}
+	| {readonly kind: ClientMessageKind.InvalidStatement; readonly message: string}
+	| {readonly kind: ClientMessageKind.Unreadable; readonly code: StatementErrorCode; readonly message: string}
+	| {readonly kind: ClientMessageKind.Terminate};
+
+/** Codec of one client connection. */
+export type ClientCodec = {
+	/** Takes received bytes and returns the messages that are complete. */
+	decode(chunk: Buffer): ClientMessage[];
+	/** Encodes the response to a start-up message. */
+	encodeReady(): string;
+	/** Encodes an error after which the connection is closed. */
+	encodeFatalError(code: StatementErrorCode, message: string): string;
+	/** Encodes the complete response to a statement. */
+	encodeResult(result: StatementResult): string;
+};
--- /dev/null
+++ b/packages/direct/src/connection/client-connection.ts
@@ -0,0 +1,177 @@
+import {type Socket} from 'node:net';
+import {type EventLog} from '../process/event-log.js';
+import {StatementErrorCode} from '../request/statement-error-code.js';
+import {type ClientCodec, type ClientMessage, ClientMessageKind} from './client-codec.js';
+import {type ClientSession} from './client-session.js';
+import {createError} from './statement-runner.js';
+
+/** Messages of a client that are kept while one is executed; more are left in the socket. */
+const maximumQueuedMessages = 64;
+
+/** What a connection needs of its host. */
+export type SessionHost = {
+	readonly isConfigured: boolean;
+	openSession(database: string): ClientSession | undefined;
+	closeSession(session: ClientSession): void;
+};
+
+/** Connection of one client. Its messages are executed one after the other. */
+export class ClientConnection {
+	readonly #socket: Socket;
+	readonly #codec: ClientCodec;
+	readonly #host: SessionHost;
+	readonly #log: EventLog;
+	readonly #messages: ClientMessage[] = [];
+	#session: ClientSession | undefined;
+	#isRunning = false;
+	#closesWhenIdle = false;
+
+	/**
+	 * @param socket - Accepted connection.
+	 * @param codec - Codec of the protocol, for this connection only.
+	 * @param host - Host that opens the session.
+	 * @param log - Receives failures.
+	 */
+	constructor(socket: Socket, codec: ClientCodec, host: SessionHost, log: EventLog) {
+		this.#socket = socket;
+		this.#codec = codec;
+		this.#host = host;
+		this.#log = log;
+		socket.setNoDelay(true);
+		socket.on('data', chunk => {
+			this.#receive(chunk);
+		});
+		socket.on('error', error => {
+			log.write('client-connection-failed', {reason: error.message});
+		});
+		socket.on('close', () => {
+			this.#messages.length = 0;
+			if (this.#session) {
+				host.closeSession(this.#session);
+			}
+		});
+	}
+
+	/** Whether a request is being executed or a transaction is open. */
+	get isBusy(): boolean {
+		return this.#isRunning || this.#session?.isInTransaction === true;
+	}
+
+	/** Closes the connection as soon as no request is being executed and no transaction is open. */
+	closeWhenIdle(): void {
+		this.#closesWhenIdle = true;
+		if (!this.isBusy) {
+			this.#socket.end();
+		}
+	}
+
+	/** Closes the connection at once. */
+	destroy(): void {
+		this.#socket.destroy();
+	}
+
+	#receive(chunk: Buffer): void {
+		this.#messages.push(...this.#codec.decode(chunk));
+		if (this.#messages.length > maximumQueuedMessages) {
+			this.#socket.pause();
+		}
+
+		if (!this.#isRunning) {
+			void this.#runMessages();
+		}
+	}
+
+	async #runMessages(): Promise<void> {
+		this.#isRunning = true;
+		for (let message = this.#messages.shift(); message; message = this.#messages.shift()) {
+			if (this.#socket.isPaused() && this.#messages.length <= maximumQueuedMessages) {
+				this.#socket.resume();
+			}
+
+			try {
+				await this.#handle(message);
+			} catch (error) {
+				this.#log.write('client-message-failed', {reason: error instanceof Error ? error.stack : String(error)});
+				this.#socket.destroy();
+			}
+		}
+
+		this.#isRunning = false;
+		if (this.#closesWhenIdle && !this.isBusy) {
+			this.#socket.end();
+		}
+	}
+
+	async #handle(message: ClientMessage): Promise<void> {
+		switch (message.kind) {
+			case ClientMessageKind.Startup: {
+				this.#startUp(message.database);
+				break;
+			}
+
+			case ClientMessageKind.Statement: {
+				if (this.#session) {
+					await this.#write(this.#codec.encodeResult(await this.#session.execute(message.statement)));
+				} else {
+					this.#fail(StatementErrorCode.Malformed, 'a statement before the start-up message');
+				}
+
+				break;
+			}
+
+			case ClientMessageKind.InvalidStatement: {
+				const status = this.#session?.status;
+				await this.#write(this.#codec.encodeResult(createError(StatementErrorCode.Malformed, message.message, status)));
+				break;
+			}
+
+			case ClientMessageKind.Unreadable: {
+				this.#fail(message.code, message.message);
+				break;
+			}
+
+			case ClientMessageKind.Terminate: {
+				this.#socket.end();
+				break;
+			}
+		}
+	}
+
+	#startUp(database: string): void {
+		if (this.#session) {
+			this.#fail(StatementErrorCode.Malformed, 'a second start-up message');
+			return;
+		}
+
+		this.#session = this.#host.openSession(database);
+		if (this.#session) {
+			this.#socket.write(this.#codec.encodeReady());
+		} else if (this.#host.isConfigured) {
+			this.#fail(StatementErrorCode.UnknownDatabase, database);
+		} else {
+			this.#fail(StatementErrorCode.Overloaded, 'no configuration is known yet');
+		}
+	}
+
+	#fail(code: StatementErrorCode, message: string): void {
+		this.#messages.length = 0;
+		this.#socket.end(this.#codec.encodeFatalError(code, message));
+	}
+
+	async #write(text: string): Promise<void> {
+		if (this.#socket.destroyed || this.#socket.write(text, 'latin1')) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const finish = () => {
+				this.#socket.off('drain', finish);
+				this.#socket.off('close', finish);
+				resolve();
+			};
+
+			this.#socket.on('drain', finish);
+			this.#socket.on('close', finish);
+		});
+	}
+}
--- /dev/null
+++ b/packages/direct/src/connection/client-listener.ts
@@ -0,0 +1,63 @@
+import {createServer, type Server} from 'node:net';
+import {type EventLog} from '../process/event-log.js';
+import {type ClientCodec} from './client-codec.js';
+import {ClientConnection, type SessionHost} from './client-connection.js';
+
+/** Connections that wait to be accepted; a reconnecting fleet of clients must not lose opening packets. */
+const backlog = 1024;
+
+/** Accepts the connections of clients. */
+export class ClientListener {
+	readonly #server: Server;
+	readonly #connections = new Set<ClientConnection>();
+	#closesWhenIdle = false;
+
+	/**
+	 * @param host - Host that serves the clients.
+	 * @param log - Receives failures.
+	 * @param createCodec - Creates the codec of a connection.
+	 */
+	constructor(host: SessionHost, log: EventLog, createCodec: () => ClientCodec) {
+		this.#server = createServer(socket => {
+			const connection = new ClientConnection(socket, createCodec(), host, log);
+			this.#connections.add(connection);
+			socket.on('close', () => {
+				this.#connections.delete(connection);
+			});
+		});
+	}
+
+	/** Connections on which a request is being executed or a transaction is open. */
+	get busyConnections(): number {
+		return [...this.#connections].filter(connection => connection.isBusy).length;
+	}
+
+	/** Listens on an address. */
+	async listen(address: string, port: number): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen({host: address, port, backlog}, resolve);
+		});
+	}
+
+	/** Closes each connection as soon as it is idle. */
+	closeIdle(): void {
+		this.#closesWhenIdle = true;
+		for (const connection of this.#connections) {
+			connection.closeWhenIdle();
+		}
+	}
+
+	/** Whether idle connections are being closed. */
+	get isClosing(): boolean {
+		return this.#closesWhenIdle;
+	}
+
+	/** Closes everything at once. */
+	destroy(): void {
+		this.#server.close();
+		for (const connection of this.#connections) {
+			connection.destroy();
+		}
+	}
+}
--- /dev/null
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -0,0 +1,365 @@
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {type EventLog} from '../process/event-log.js';
+import {type InstanceEntry} from '../process/instance-entry.js';
+import {compareWaiting, type WaitingRequest} from '../request/waiting-request.js';
+import {PooledConnection, type SessionContext} from './pooled-connection.js';
+import {ChannelFailure, type ChannelError, type UpstreamDialer} from './upstream-channel.js';
+
+/** Time that a connection attempt may take, in milliseconds: a handshake takes 12 ms on a calm instance. */
+const dialTimeoutMilliseconds = 1000;
+
+/** Delay before another attempt after a failed one, in milliseconds. */
+const dialBackoffMilliseconds = 100;
+
+/** Delay before another attempt when the instance has no connection to spare, in milliseconds. */
+const fullBackoffMilliseconds = 250;
+
+/** Weight of a new measurement in the average of the service time. */
+const serviceTimeWeight = 0.1;
+
+/** Service time that is assumed before the first measurement, in milliseconds. */
+const initialServiceTimeMilliseconds = 20;
+
+/** Reasons why no connection was granted. */
+export enum AcquireFailure {
+	/** The deadline of the request passed. */
+	Expired = 'expired',
+	/** The instance is not reachable or gets no work at present. */
+	Closed = 'closed',
+}
+
+type Waiter = {
+	readonly request: WaitingRequest;
+	readonly context: SessionContext;
+	readonly resolve: (outcome: PooledConnection | AcquireFailure) => void;
+};
+
+/** Connections of this host to one instance, and the requests that wait for one. */
+export class InstancePool implements Disposable {
+	/** Instance to which the connections lead. */
+	instance: InstanceEntry;
+	readonly #dialer: UpstreamDialer;
+	readonly #timer: TimerService;
+	readonly #log: EventLog;
+	#maximumConnections: number;
+	readonly #idle: PooledConnection[] = [];
+	readonly #busy = new Map<PooledConnection, number>();
+	#waiting: Waiter[] = [];
+	/** Monotonic start times of connection attempts that are under way. */
+	readonly #dialing = new Map<symbol, number>();
+	#dialBlockedUntil = 0;
+	#closed = false;
+	#disposed = false;
+	#lastHeardAt: number;
+	#unreachableSince: number | undefined;
+	#serviceTime = initialServiceTimeMilliseconds;
+	#drained: (() => void) | undefined;
+
+	/**
+	 * @param instance - Instance to connect to.
+	 * @param dialer - Opens the connections.
+	 * @param options - Services and the greatest number of connections.
+	 */
+	constructor(instance: InstanceEntry, dialer: UpstreamDialer, options: {timer: TimerService; log: EventLog; maximumConnections: number}) {
+		this.instance = instance;
+		this.#dialer = dialer;
+		this.#timer = options.timer;
+		this.#log = options.log;
+		this.#maximumConnections = options.maximumConnections;
+		this.#lastHeardAt = options.timer.now();
+	}
+
+	/** Monotonic time since which connection attempts have failed, or `undefined`. */
+	get unreachableSince(): number | undefined {
+		return this.#unreachableSince;
+	}
+
+	/** Whether the pool grants no connections because the instance is being replaced as the primary. */
+	get closed(): boolean {
+		return this.#closed;
+	}
+
+	/** Average time of a statement in milliseconds. */
+	get serviceTime(): number {
+		return this.#serviceTime;
+	}
+
+	/** Requests of this host that use or await a connection. */
+	get load(): number {
+		return this.#busy.size + this.#waiting.length;
+	}
+
+	/** Changes the greatest number of connections; connections above it are closed when they are returned. */
+	set maximumConnections(value: number) {
+		this.#maximumConnections = value;
+	}
+
+	/**
+	 * Returns how long the instance has been silent although a response or a connection is outstanding.
+	 *
+	 * @param now - Present monotonic time.
+	 * @returns Milliseconds; 0 if nothing is outstanding.
+	 */
+	getSilence(now: number): number {
+		let oldest = this.#unreachableSince ?? Number.POSITIVE_INFINITY;
+		for (const [connection, since] of this.#busy) {
+			if (since > 0 && !connection.channel.closed) {
+				oldest = Math.min(oldest, since);
+			}
+
+			this.#lastHeardAt = Math.max(this.#lastHeardAt, connection.channel.lastReceivedAt);
+		}
+
+		for (const since of this.#dialing.values()) {
+			oldest = Math.min(oldest, since);
+		}
+
+		return oldest === Number.POSITIVE_INFINITY ? 0 : Math.max(0, now - Math.max(oldest, this.#lastHeardAt));
+	}
+
+	/**
+	 * Grants a connection, in the order of urgency.
+	 *
+	 * @param request - Urgency and deadline.
+	 * @param context - Session whose values the connection should preferably hold.
+	 */
+	async acquire(request: WaitingRequest, context: SessionContext): Promise<PooledConnection | AcquireFailure> {
+		if (this.#closed || this.#disposed) {
+			return AcquireFailure.Closed;
+		}
+
+		const idle = this.#waiting.length === 0 ? this.#takeIdle(context) : undefined;
+		if (idle) {
+			this.#busy.set(idle, 0);
+			return idle;
+		}
+
+		return new Promise(resolve => {
+			this.#waiting.push({request, context, resolve});
+			this.#dialIfNeeded();
+		});
+	}
+
+	/** Notes that a statement is sent on a connection. */
+	noteSent(connection: PooledConnection): void {
+		this.#busy.set(connection, this.#timer.now());
+	}
+
+	/**
+	 * Notes that a statement was answered.
+	 *
+	 * @param connection - Connection on which it ran.
+	 * @param durationMilliseconds - Time from sending to the response; `undefined` if it says nothing about the load.
+	 */
+	noteAnswered(connection: PooledConnection, durationMilliseconds?: number): void {
+		this.#busy.set(connection, 0);
+		this.#heard();
+		if (durationMilliseconds !== undefined) {
+			this.#serviceTime += serviceTimeWeight * (durationMilliseconds - this.#serviceTime);
+		}
+	}
+
+	/** Returns a connection; it serves the next request, or is closed when it can't be used any more. */
+	release(connection: PooledConnection): void {
+		this.#busy.delete(connection);
+		if (connection.channel.closed || this.#disposed || this.#closed || this.#idle.length + this.#busy.size >= this.#maximumConnections) {
+			connection.channel[Symbol.dispose]();
+		} else {
+			connection.idleSince = this.#timer.now();
+			connection.channel.onClose = () => {
+				this.#removeIdle(connection);
+			};
+
+			this.#idle.push(connection);
+		}
+
+		this.#serveWaiting();
+		this.#settleDrain();
+	}
+
+	/**
+	 * Stops granting connections. Requests that wait are answered `Closed`.
+	 *
+	 * @param graceMilliseconds - Time after which connections in use are closed.
+	 * @returns Resolves when no connection is in use any more.
+	 */
+	async close(graceMilliseconds: number): Promise<void> {
+		this.#closed = true;
+		this.#rejectWaiting(AcquireFailure.Closed);
+		for (const connection of this.#idle.splice(0)) {
+			connection.channel[Symbol.dispose]();
+		}
+
+		if (this.#busy.size === 0) {
+			return;
+		}
+
+		const drained = new Promise<void>(resolve => {
+			this.#drained = resolve;
+		});
+		using _timer = this.#timer.schedule(graceMilliseconds, () => {
+			for (const connection of this.#busy.keys()) {
+				connection.channel[Symbol.dispose]();
+			}
+
+			this.#drained?.();
+		});
+		await drained;
+	}
+
+	/** Grants connections again after `close`. */
+	reopen(): void {
+		this.#closed = false;
+	}
+
+	/** Opens a connection in advance if there is none. */
+	warmUp(): void {
+		if (this.#idle.length + this.#busy.size + this.#dialing.size === 0 && !this.#closed) {
+			void this.#dial();
+		}
+	}
+
+	/** Ends waits whose deadline has passed and retries connection attempts. Called at a fixed interval. */
+	sweep(now: number): void {
+		if (this.#waiting.length > 0) {
+			const expired = this.#waiting.filter(waiter => waiter.request.deadline <= now);
+			if (expired.length > 0) {
+				this.#waiting = this.#waiting.filter(waiter => waiter.request.deadline > now);
+				for (const waiter of expired) {
+					waiter.resolve(AcquireFailure.Expired);
+				}
+			}
+
+			this.#dialIfNeeded();
+		} else if (this.#unreachableSince !== undefined && this.#dialing.size === 0 && now >= this.#dialBlockedUntil && !this.#closed) {
+			void this.#dial();
+		}
+	}
+
+	/** Closes idle connections that were silent for long, because a partition may have cut them without a sign. */
+	closeIdle(): void {
+		for (const connection of this.#idle.splice(0)) {
+			connection.channel[Symbol.dispose]();
+		}
+	}
+
+	[Symbol.dispose](): void {
+		this.#disposed = true;
+		this.#rejectWaiting(AcquireFailure.Closed);
+		this.closeIdle();
+	}
+
+	#rejectWaiting(failure: AcquireFailure): void {
+		for (const waiter of this.#waiting.splice(0)) {
+			waiter.resolve(failure);
+		}
+	}
+
+	#takeIdle(context: SessionContext): PooledConnection | undefined {
+		while (this.#idle.length > 0) {
+			let index = this.#idle.findIndex(connection => connection.matches(context));
+			if (index === -1) {
+				index = this.#idle.length - 1;
+			}
+
+			const [connection] = this.#idle.splice(index, 1);
+			if (connection && !connection.channel.closed) {
+				connection.channel.onClose = undefined;
+				return connection;
+			}
+		}
+
+		return undefined;
+	}
+
+	#removeIdle(connection: PooledConnection): void {
+		const index = this.#idle.indexOf(connection);
+		if (index !== -1) {
+			this.#idle.splice(index, 1);
+		}
+	}
+
+	#serveWaiting(): void {
+		while (this.#waiting.length > 0 && this.#idle.length > 0) {
+			const now = this.#timer.now();
+			let best = 0;
+			for (let index = 1; index < this.#waiting.length; index++) {
+				if (compareWaiting(this.#waiting[index]!.request, this.#waiting[best]!.request, now) < 0) {
+					best = index;
+				}
+			}
+
+			const waiter = this.#waiting[best]!;
+			const connection = this.#takeIdle(waiter.context);
+			if (!connection) {
+				break;
+			}
+
+			this.#waiting.splice(best, 1);
+			this.#busy.set(connection, 0);
+			waiter.resolve(connection);
+		}
+
+		this.#dialIfNeeded();
+	}
+
+	#dialIfNeeded(): void {
+		while (!this.#closed && !this.#disposed
+			&& this.#waiting.length > this.#dialing.size
+			&& this.#idle.length + this.#busy.size + this.#dialing.size < this.#maximumConnections
+			&& this.#timer.now() >= this.#dialBlockedUntil) {
+			void this.#dial();
+		}
+	}
+
+	async #dial(): Promise<void> {
+		const attempt = Symbol('dial');
+		const startedAt = this.#timer.now();
+		this.#dialing.set(attempt, startedAt);
+		const outcome = await this.#dialer.dial(this.instance, dialTimeoutMilliseconds);
+		this.#dialing.delete(attempt);
+		if (outcome.isErr()) {
+			this.#handleDialFailure(outcome.error, startedAt);
+			return;
+		}
+
+		this.#heard();
+		const connection = new PooledConnection(outcome.value);
+		this.#busy.set(connection, 0);
+		this.release(connection);
+	}
+
+	#handleDialFailure(error: ChannelError, startedAt: number): void {
+		const now = this.#timer.now();
+		if (error.failure === ChannelFailure.TooManyConnections) {
+			this.#dialBlockedUntil = now + fullBackoffMilliseconds;
+		} else {
+			this.#dialBlockedUntil = now + dialBackoffMilliseconds;
+			if (this.#unreachableSince === undefined) {
+				this.#unreachableSince = startedAt;
+				this.#log.write('instance-unreachable', {instance: this.instance.id, group: this.instance.group, reason: error.message});
+			}
+		}
+
+		if (this.#idle.length + this.#busy.size === 0 && error.failure !== ChannelFailure.TooManyConnections) {
+			this.#rejectWaiting(AcquireFailure.Closed);
+		}
+	}
+
+	#heard(): void {
+		this.#lastHeardAt = this.#timer.now();
+		if (this.#unreachableSince !== undefined) {
+			this.#log.write('instance-reachable', {
+				instance: this.instance.id, group: this.instance.group, unreachableMilliseconds: Math.round(this.#lastHeardAt - this.#unreachableSince),
+			});
+			this.#unreachableSince = undefined;
+		}
+	}
+
+	#settleDrain(): void {
+		if (this.#busy.size === 0) {
+			this.#drained?.();
+			this.#drained = undefined;
+		}
+	}
+}
--- /dev/null
+++ b/packages/direct/src/connection/run-statement.ts
@@ -0,0 +1,55 @@
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {type StatementError, type StatementResult} from '../request/statement-result.js';
+import {type PooledConnection} from './pooled-connection.js';
+import {type UpstreamStatement} from './upstream-channel.js';
+
+/** How far a statement came. */
+export enum Progress {
+	/** The statements before it failed, so it was not sent. */
+	NotSent = 'not-sent',
+	/** It was sent and no complete response arrived; the connection is closed. */
+	Unanswered = 'unanswered',
+	Answered = 'answered',
+}
+
+/** Outcome of a statement on a connection. */
+export type StatementOutcome =
+	/** `error` is missing if the connection failed. */
+	| {readonly progress: Progress.NotSent; readonly message: string; readonly error?: StatementError}
+	| {readonly progress: Progress.Unanswered; readonly message: string; readonly sentAt: number}
+	| {readonly progress: Progress.Answered; readonly result: StatementResult; readonly sentAt: number};
+
+/**
+ * Runs the statements that prepare a connection, and then a statement of a client.
+ *
+ * The two are not sent together: after a failed `BEGIN` the statement would run outside its transaction.
+ *
+ * @param connection - Connection to use.
+ * @param preamble - Statements that must succeed first.
+ * @param statement - Statement of the client.
+ * @param options - Clock, and the monotonic time at which the connection is closed if a response is missing.
+ */
+export async function runStatement(
+	connection: PooledConnection,
+	preamble: readonly UpstreamStatement[],
+	statement: UpstreamStatement,
+	options: {readonly timer: TimerService; readonly deadline: number},
+): Promise<StatementOutcome> {
+	if (preamble.length > 0) {
+		const prepared = await connection.channel.run(preamble, options.deadline);
+		if (prepared.isErr()) {
+			return {progress: Progress.NotSent, message: prepared.error.message};
+		}
+
+		const error = prepared.value.find(result => result.error)?.error;
+		if (error) {
+			return {progress: Progress.NotSent, message: `${error.code} ${error.message}`, error};
+		}
+	}
+
+	const sentAt = options.timer.now();
+	const outcome = await connection.channel.run([statement], options.deadline);
+	return outcome.isErr()
+		? {progress: Progress.Unanswered, message: outcome.error.message, sentAt}
+		: {progress: Progress.Answered, result: outcome.value[0]!, sentAt};
+}
--- /dev/null
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -0,0 +1,297 @@
+import {type LogPosition} from '@tarragonstack/core/request/log-position';
+import {TransactionStatus} from '@tarragonstack/core/request/transaction-status';
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {type EventLog} from '../process/event-log.js';
+import {type InstanceGroupState, type KnownInstance} from '../process/instance-group-state.js';
+import {Consistency} from '../request/consistency.js';
+import {actionOfErrorCode, ErrorAction} from '../request/error-handling.js';
+import {type SessionFloor} from '../request/freshness-ledger.js';
+import {chooseReadCandidate} from '../request/read-placement.js';
+import {StatementErrorCode} from '../request/statement-error-code.js';
+import {StatementKind} from '../request/statement-kind.js';
+import {type StatementResult} from '../request/statement-result.js';
+import {type PreparedDefinition, type Statement} from '../request/statement.js';
+import {type WaitingRequest} from '../request/waiting-request.js';
+import {type Route} from '../version/deployment-configuration.js';
+import {AcquireFailure, type InstancePool} from './instance-pool.js';
+import {getPreparedName, type PooledConnection, type SessionContext} from './pooled-connection.js';
+import {rollBackAndRelease} from './roll-back-and-release.js';
+import {Progress, runStatement} from './run-statement.js';
+import {type UpstreamStatement} from './upstream-channel.js';
+
+/** Part of the permitted staleness that is not used, in milliseconds; it covers differences in when the parties look. */
+const stalenessMarginMilliseconds = 100;
+
+/** Time after which a read without a response is sent to another instance, in milliseconds: several times a long service time. */
+const readSilenceMilliseconds = 500;
+
+/** Longest pause before an instance or the list of instances is looked at again, in milliseconds. */
+const retryPauseMilliseconds = 20;
+
+/** Time for which a replica that lacked a position gets no reads that others can serve, in milliseconds. */
+const behindPenaltyMilliseconds = 100;
+
+/** Greatest number of attempts of one statement. */
+const maximumAttempts = 12;
+
+/** Statement that is to run outside a transaction, or as the first of one. */
+export type FirstStatement = {
+	readonly statement: Statement;
+	/** Kind of the transaction that the statement begins, if any. */
+	readonly begin?: 'read-write' | 'read-only';
+	readonly route: Route;
+	readonly group: InstanceGroupState;
+	readonly context: SessionContext;
+	readonly definition?: PreparedDefinition;
+	readonly floor?: SessionFloor;
+	/** Monotonic time at which the statement, or the beginning of its transaction, arrived. */
+	readonly arrivedAt: number;
+};
+
+/** Connection that a transaction holds. */
+export type HeldConnection = {
+	readonly connection: PooledConnection;
+	readonly pool: InstancePool;
+	/** Reign of the primary; `undefined` if the transaction runs at a replica. */
+	readonly reign?: number;
+};
+
+/** Outcome of the first statement. */
+export type FirstOutcome = {
+	readonly result: StatementResult;
+	/** Connection of the transaction that was begun. */
+	readonly held?: HeldConnection;
+	/** Reign of the primary that answered. */
+	readonly reign?: number;
+};
+
+type Target = {
+	readonly known: KnownInstance;
+	readonly pool: InstancePool;
+	readonly minimumPosition?: LogPosition;
+	readonly reign?: number;
+};
+
+type Attempt = {
+	/** Missing if the statement has not run and may be tried again. */
+	readonly outcome?: FirstOutcome;
+};
+
+/** Chooses an instance for a statement, runs it there, and tries again as long as it has not run. */
+export class StatementRunner {
+	readonly #timer: TimerService;
+	readonly #log: EventLog;
+	readonly #availabilityZone: string;
+
+	/**
+	 * @param options - Services, and the zone of this host.
+	 */
+	constructor(options: {timer: TimerService; log: EventLog; availabilityZone: string}) {
+		this.#timer = options.timer;
+		this.#log = options.log;
+		this.#availabilityZone = options.availabilityZone;
+	}
+
+	/**
+	 * Runs a statement that is not inside a started transaction.
+	 *
+	 * @param work - Statement and what is known of its session.
+	 */
+	async run(work: FirstStatement): Promise<FirstOutcome> {
+		const request: WaitingRequest = {
+			priority: work.route.priority,
+			arrivedAt: work.arrivedAt,
+			onTimeUntil: work.arrivedAt + work.route.targetMilliseconds,
+			deadline: this.#timer.now() + work.route.statementTimeoutMilliseconds,
+		};
+		const tried = new Set<InstancePool>();
+		let reason = 'no instance is available';
+		for (let attempts = 0; attempts < maximumAttempts && this.#timer.now() < request.deadline;) {
+			const target = this.#chooseTarget(work, tried);
+			if (!target) {
+				await this.#waitForChange(work.group, request.deadline);
+				continue;
+			}
+
+			const connection = await target.pool.acquire(request, work.context);
+			if (typeof connection === 'string') {
+				tried.add(target.pool);
+				reason = connection === AcquireFailure.Expired ? 'no connection became free in time' : 'the instance is not reachable';
+				if (target.reign !== undefined) {
+					tried.clear();
+					await this.#waitForChange(work.group, request.deadline);
+				}
+
+				continue;
+			}
+
+			attempts++;
+			const attempt = await this.#attempt(work, target, connection, request.deadline);
+			if (attempt.outcome) {
+				return attempt.outcome;
+			}
+
+			tried.add(target.pool);
+			if (target.reign !== undefined) {
+				tried.clear();
+				await this.#waitForChange(work.group, request.deadline);
+			}
+		}
+
+		this.#log.write('statement-refused', {
+			request: work.statement.identifier, group: work.group.name, priority: work.route.priority,
+			waitedMilliseconds: Math.round(this.#timer.now() - work.arrivedAt), reason,
+		});
+		return {result: createError(StatementErrorCode.Overloaded, `${reason}; retry after ${retryPauseMilliseconds * 5} ms`)};
+	}
+
+	#chooseTarget(work: FirstStatement, tried: ReadonlySet<InstancePool>): Target | undefined {
+		const minimumPosition = this.#getReplicaPosition(work);
+		if (minimumPosition) {
+			const replica = this.#chooseReplica(work.group, tried);
+			if (replica) {
+				return {known: replica, pool: replica.pool, minimumPosition};
+			}
+		}
+
+		const primary = work.group.getUsablePrimary();
+		return primary && !primary.known.pool.closed
+			? {known: primary.known, pool: primary.known.pool, reign: primary.reign}
+			: undefined;
+	}
+
+	/** Returns the position that a replica must hold, or `undefined` if only the primary can serve the statement. */
+	#getReplicaPosition({statement, begin, route, group, definition, floor, arrivedAt}: FirstStatement): LogPosition | undefined {
+		const isReadOnly = begin === undefined
+			? statement.kind === StatementKind.Read || (statement.kind === StatementKind.Execute && definition?.writes === false)
+			: begin === 'read-only';
+		if (!isReadOnly || route.consistency === Consistency.Primary) {
+			return undefined;
+		}
+
+		return group.ledger.getRequiredPosition(
+			arrivedAt - route.maximumStalenessMilliseconds + stalenessMarginMilliseconds,
+			route.consistency === Consistency.ReadYourWrites ? floor : undefined,
+		);
+	}
+
+	#chooseReplica(group: InstanceGroupState, tried: ReadonlySet<InstancePool>): KnownInstance | undefined {
+		const now = this.#timer.now();
+		const primary = group.record?.primary;
+		const replicas = [...group.instances.values()].filter(({pool}) => pool.instance.id !== primary && !pool.instance.leaving && !pool.closed);
+		return replicas[chooseReadCandidate(replicas.map(({pool, behindUntil}) => ({
+			load: pool.load,
+			serviceTime: pool.serviceTime,
+			isLocalZone: pool.instance.availabilityZone === this.#availabilityZone,
+			isBehind: behindUntil > now,
+			isReachable: pool.unreachableSince === undefined,
+			isTried: tried.has(pool),
+		})))];
+	}
+
+	async #attempt(work: FirstStatement, target: Target, connection: PooledConnection, deadline: number): Promise<Attempt> {
+		const {statement, begin, context, definition, group} = work;
+		const {pool, minimumPosition, reign} = target;
+		if (reign !== undefined && !group.isReignCurrent(reign)) {
+			pool.release(connection);
+			return {};
+		}
+
+		const position = minimumPosition && {minimumPosition};
+		const preamble: UpstreamStatement[] = connection.align(context, definition);
+		if (begin) {
+			preamble.push({begin, ...position});
+		}
+
+		const mayRepeat = begin !== undefined || statement.kind === StatementKind.Read || definition?.writes === false;
+		const startedAt = this.#timer.now();
+		pool.noteSent(connection);
+		const outcome = await runStatement(
+			connection,
+			preamble,
+			{statement, ...(definition && {preparedName: getPreparedName(definition)}), ...(!begin && position)},
+			{timer: this.#timer, deadline: mayRepeat ? Math.min(deadline, startedAt + readSilenceMilliseconds) : deadline},
+		);
+		if (outcome.progress === Progress.Answered) {
+			const {result, sentAt} = outcome;
+			pool.noteAnswered(connection, this.#timer.now() - sentAt);
+			if (reign !== undefined && !result.error && result.position) {
+				group.ledger.observe(reign, result.position, sentAt);
+			}
+
+			return result.error ? this.#handleError(work, target, connection, result) : this.#succeed(work, target, connection, result);
+		}
+
+		if (outcome.progress === Progress.NotSent && outcome.error) {
+			pool.noteAnswered(connection);
+			return this.#handleError(work, target, connection, createError(outcome.error.code, outcome.error.message));
+		}
+
+		connection.channel[Symbol.dispose]();
+		pool.release(connection);
+		this.#log.write('statement-unanswered', {
+			request: statement.identifier, group: group.name, instance: pool.instance.id, primary: reign !== undefined,
+			afterMilliseconds: Math.round(this.#timer.now() - startedAt), sent: outcome.progress === Progress.Unanswered, repeatable: mayRepeat, reason: outcome.message,
+		});
+		return mayRepeat || outcome.progress === Progress.NotSent ? {} : {outcome: {result: createError(StatementErrorCode.OutcomeUnknown, outcome.message)}};
+	}
+
+	#succeed(work: FirstStatement, target: Target, connection: PooledConnection, result: StatementResult): Attempt {
+		const reign = target.reign === undefined ? {} : {reign: target.reign};
+		if (work.begin && result.status === TransactionStatus.InTransaction) {
+			return {outcome: {result, held: {connection, pool: target.pool, ...reign}, ...reign}};
+		}
+
+		if (result.status !== TransactionStatus.Idle) {
+			connection.channel[Symbol.dispose]();
+		}
+
+		target.pool.release(connection);
+		return {outcome: {result, ...reign}};
+	}
+
+	#handleError(work: FirstStatement, target: Target, connection: PooledConnection, result: StatementResult): Attempt {
+		const code = result.error!.code;
+		const action = actionOfErrorCode[code];
+		if (action === ErrorAction.ReplaceConnection) {
+			connection.channel[Symbol.dispose]();
+		}
+
+		if (work.begin) {
+			void rollBackAndRelease(connection, target.pool, this.#timer);
+		} else {
+			target.pool.release(connection);
+		}
+
+		if (action === ErrorAction.Return) {
+			const status = work.begin ? TransactionStatus.Failed : TransactionStatus.Idle;
+			return {outcome: {result: {...result, status}}};
+		}
+
+		if (code === StatementErrorCode.Behind) {
+			target.known.behindUntil = this.#timer.now() + behindPenaltyMilliseconds;
+		}
+
+		return {};
+	}
+
+	async #waitForChange(group: InstanceGroupState, deadline: number): Promise<void> {
+		const now = this.#timer.now();
+		const abort = new AbortController();
+		group.onceChanged(() => {
+			abort.abort();
+		});
+		await this.#timer.sleep(Math.min(retryPauseMilliseconds, Math.max(1, deadline - now)), abort.signal);
+	}
+}
+
+/**
+ * Creates the result of a statement that failed on this host.
+ *
+ * @param code - Code that states whether the statement ran.
+ * @param message - Explanation for people.
+ * @param status - Transaction status of the session afterwards.
+ */
+export function createError(code: StatementErrorCode, message: string, status = TransactionStatus.Idle): StatementResult {
+	return {rows: [], error: {code, message}, status};
+}
--- /dev/null
+++ b/packages/direct/src/connection/upstream-channel.ts
@@ -0,0 +1,95 @@
+import {type LogPosition} from '@tarragonstack/core/request/log-position';
+import {type Result} from 'neverthrow';
+import {type PreparedDefinition, type Statement} from '../request/statement.js';
+import {type StatementResult} from '../request/statement-result.js';
+import {type InstanceEntry} from '../process/instance-entry.js';
+
+/** Commands that the proxy itself sends to an instance. */
+export enum SessionCommand {
+	/** Clears session values and prepared statements. */
+	Reset = 'reset',
+	Rollback = 'rollback',
+}
+
+/** What can be sent to an instance. */
+export type UpstreamStatement =
+	/** A statement of a client, with the position that the log of the instance must hold. */
+	| {readonly statement: Statement; readonly minimumPosition?: LogPosition; readonly preparedName?: string}
+	/** Statement `Begin` or `BeginReadOnly` of the proxy. */
+	| {readonly begin: 'read-write' | 'read-only'; readonly minimumPosition?: LogPosition}
+	| {readonly command: SessionCommand}
+	| {readonly setValue: {readonly name: string; readonly value: string}}
+	| {readonly prepare: {readonly name: string; readonly definition: PreparedDefinition}};
+
+/** Reasons why a channel gave no complete response. */
+export enum ChannelFailure {
+	/** The connection was refused, reset or closed. */
+	Broken = 'broken',
+	/** No response came in time; the connection is closed. */
+	Silent = 'silent',
+	/** The instance accepts no further connections. */
+	TooManyConnections = 'too-many-connections',
+	/** Another instance answers at the address. */
+	WrongInstance = 'wrong-instance',
+	/** The instance violates the protocol. */
+	Protocol = 'protocol',
+}
+
+/** Failure of a channel. */
+export type ChannelError = {
+	readonly failure: ChannelFailure;
+	readonly message: string;
+};
+
+/** Status that an instance reports on request. */
+export type InstanceStatus = {
+	readonly isPrimary: boolean;
+	readonly term: number;
+	/** Last position that the instance received. */
+	readonly received: LogPosition;
+};
+
+/** Connection to an instance. It runs one batch of statements at a time. */
+export type UpstreamChannel = Disposable & {
+	/** Whether the channel can't be used any more. */
+	readonly closed: boolean;
+	/** Monotonic time at which the last byte arrived. */
+	readonly lastReceivedAt: number;
+	/** Called once when the connection ends while no batch is running. */
+	onClose: (() => void) | undefined;
+
+	/**
+	 * Sends statements in one write and waits for all responses.
+	 *
+	 * @param batch - Statements in order.
+	 * @param deadline - Monotonic time at which the channel is closed if responses are missing.
+	 * @returns One result per statement, or the failure after which the channel is closed.
+	 */
+	run(batch: readonly UpstreamStatement[], deadline: number): Promise<Result<StatementResult[], ChannelError>>;
+
+	/**
+	 * Asks the instance for its status.
+	 *
+	 * @param deadline - Monotonic time at which the channel is closed if the response is missing.
+	 */
+	readStatus(deadline: number): Promise<Result<InstanceStatus, ChannelError>>;
+
+	/**
+	 * Makes the instance a replica if it is a primary of an earlier term.
+	 *
+	 * @param term - Term of the new primary.
+	 * @param deadline - Monotonic time at which the channel is closed if the response is missing.
+	 */
+	demote(term: number, deadline: number): Promise<Result<InstanceStatus, ChannelError>>;
+};
+
+/** Opens connections to instances. */
+export type UpstreamDialer = {
+	/**
+	 * Opens a connection and verifies that the expected instance answers.
+	 *
+	 * @param instance - Instance to connect to.
+	 * @param timeoutMilliseconds - Time after which the attempt fails.
+	 */
+	dial(instance: InstanceEntry, timeoutMilliseconds: number): Promise<Result<UpstreamChannel, ChannelError>>;
+};
--- /dev/null
+++ b/packages/direct/src/process/direct-host.ts
@@ -0,0 +1,342 @@
+import {type SharedStore, type StoreItem} from '@tarragonstack/core/adapters/shared-store';
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {ClientSession} from '../connection/client-session.js';
+import {InstancePool} from '../connection/instance-pool.js';
+import {StatementRunner} from '../connection/statement-runner.js';
+import {type UpstreamDialer} from '../connection/upstream-channel.js';
+import {getConnectionShare} from '../request/connection-share.js';
+import {type DeploymentConfiguration} from '../version/deployment-configuration.js';
+import {type EventLog} from './event-log.js';
+import {FleetView} from './fleet-view.js';
+import {parseGroupRecord} from './group-record.js';
+import {HostRegistration} from './host-registration.js';
+import {type InstanceEntry} from './instance-entry.js';
+import {InstanceGroupState} from './instance-group-state.js';
+import {type PlatformFormats} from './platform-formats.js';
+import {PrimaryAuthority} from './primary-authority.js';
+import {PromotionCoordinator} from './promotion-coordinator.js';
+import {type PromotionService} from './promotion-service.js';
+import {StoreFollower, type StoreListener} from './store-follower.js';
+import {fleetPrefix, groupPrefix, hostPrefix, promoterKey} from './store-keys.js';
+import {SuspensionDetector} from './suspension-detector.js';
+
+/** Interval at which time limits are checked, in milliseconds. */
+const sweepIntervalMilliseconds = 25;
+
+/**
+ * Time for which an instance that is missing from the list stays in use, in milliseconds. The entries of live instances
+ * may lapse while the store is away, and are back within two seconds of its return.
+ */
+const missingInstanceMilliseconds = 3000;
+
+/** Time without permission to use primaries after which the host asks for no new clients, in milliseconds. */
+const unauthorizedMilliseconds = 1000;
+
+/** Options of a `DirectHost`. */
+export type DirectHostOptions = {
+	readonly hostName: string;
+	readonly availabilityZone: string;
+	readonly incarnation: string;
+	/** Address of the host's peer listener, in the form `host:port`. */
+	readonly peerAddress: string;
+	readonly store: SharedStore;
+	readonly formats: PlatformFormats;
+	readonly dialer: UpstreamDialer;
+	readonly promotions: PromotionService;
+	readonly timer: TimerService;
+	readonly log: EventLog;
+	/** Returns the time of day in milliseconds. */
+	readWallClock(): number;
+};
+
+/** One host of the fleet: it follows the shared store, knows the groups and runs the statements of its sessions. */
+export class DirectHost implements StoreListener, AsyncDisposable {
+	readonly #options: DirectHostOptions;
+	readonly #groups = new Map<string, InstanceGroupState>();
+	/** Entries of instances whose group no configuration names yet. */
+	readonly #entries = new Map<string, InstanceEntry>();
+	/** Records of groups that no configuration names yet, by key. */
+	readonly #pendingRecords = new Map<string, StoreItem>();
+	readonly #sessions = new Set<ClientSession>();
+	readonly #fleet: FleetView;
+	readonly #authority: PrimaryAuthority;
+	readonly #registration: HostRegistration;
+	readonly #follower: StoreFollower;
+	readonly #coordinator: PromotionCoordinator;
+	readonly #runner: StatementRunner;
+	#configuration: DeploymentConfiguration | undefined;
+	#sweeper: Disposable | undefined;
+	#isLeaving = false;
+
+	/**
+	 * @param options - Identity of the host and its services.
+	 */
+	constructor(options: DirectHostOptions) {
+		const {timer, log, store, hostName, availabilityZone, incarnation, peerAddress} = options;
+		this.#options = options;
+		this.#fleet = new FleetView(timer, log);
+		this.#registration = new HostRegistration({
+			store, timer, log, hostName, record: {incarnation, availabilityZone, peerAddress, confirmed: {}, suspected: []},
+		});
+		this.#follower = new StoreFollower({store, timer, log, listener: this, polledPrefix: fleetPrefix});
+		this.#authority = new PrimaryAuthority(timer, new SuspensionDetector(timer, () => options.readWallClock()), () => {
+			log.write('suspension-detected', {});
+			this.#follower.pollNow();
+		});
+		this.#coordinator = new PromotionCoordinator({
+			...options, registration: this.#registration, fleet: this.#fleet, isStoreAvailable: () => this.#follower.isAvailable,
+		});
+		this.#runner = new StatementRunner({timer, log, availabilityZone});
+	}
+
+	/** Whether the host serves clients and wants new ones. */
+	get isReady(): boolean {
+		return !this.#isLeaving && this.#configuration !== undefined
+			&& this.#options.timer.now() < this.#authority.validUntil + unauthorizedMilliseconds
+			&& this.#authority.validUntil > 0;
+	}
+
+	/** Begins to follow the store and to check time limits. */
+	start(): void {
+		this.#follower.start();
+		this.#sweeper = this.#options.timer.subscribe(sweepIntervalMilliseconds, now => {
+			this.#sweep(now);
+		});
+	}
+
+	/** Opens a session for a client, or returns `undefined` if no route leads to the database. */
+	openSession(database: string): ClientSession | undefined {
+		if (!this.#configuration?.routes.has(database)) {
+			return undefined;
+		}
+
+		const {timer, log} = this.#options;
+		const session = new ClientSession(database, {
+			timer, log, runner: this.#runner,
+			getConfiguration: () => this.#configuration,
+			getGroup: name => this.#groups.get(name),
+		});
+		this.#sessions.add(session);
+		return session;
+	}
+
+	/** Ends a session whose client left. */
+	closeSession(session: ClientSession): void {
+		this.#sessions.delete(session);
+		session[Symbol.dispose]();
+	}
+
+	/** Whether a configuration is known. */
+	get isConfigured(): boolean {
+		return this.#configuration !== undefined;
+	}
+
+	/** Stops asking for new clients. */
+	leave(): void {
+		this.#isLeaving = true;
+	}
+
+	/** @inheritdoc */
+	handleItem(item: StoreItem): void {
+		const {formats} = this.#options;
+		if (item.key === formats.configurationKey) {
+			this.#handleConfiguration(item);
+		} else if (item.key.startsWith(formats.instancePrefix)) {
+			this.#handleInstance(item);
+		} else if (item.key.startsWith(groupPrefix)) {
+			this.#handleGroupRecord({key: item.key, value: item.value, revision: item.revision});
+		} else if (item.key.startsWith(hostPrefix)) {
+			const name = item.key.slice(hostPrefix.length);
+			this.#fleet.noteHost(name, item);
+			if (name === this.#options.hostName) {
+				this.#registration.noteStored(item.value, item.revision);
+			}
+		} else if (item.key === promoterKey) {
+			this.#fleet.notePromoter(item);
+		}
+	}
+
+	/** @inheritdoc */
+	handleRemoval(key: string): void {
+		const {formats, hostName, timer} = this.#options;
+		if (key.startsWith(formats.instancePrefix)) {
+			const id = key.slice(formats.instancePrefix.length);
+			this.#entries.delete(id);
+			for (const group of this.#groups.values()) {
+				const known = group.instances.get(id);
+				if (known) {
+					known.missingSince ??= timer.now();
+				}
+			}
+		} else if (key.startsWith(hostPrefix)) {
+			const name = key.slice(hostPrefix.length);
+			this.#fleet.removeHost(name);
+			if (name === hostName) {
+				this.#registration.noteStored(undefined, 0);
+			}
+		} else if (key === promoterKey) {
+			this.#fleet.removePromoter();
+		}
+	}
+
+	/** @inheritdoc */
+	handleCaughtUp(): void {
+		if (!this.#fleet.hosts.has(this.#options.hostName)) {
+			this.#registration.update({});
+		}
+
+		this.#updateShares();
+	}
+
+	/** @inheritdoc */
+	handleFleetRead(readStartedAt: number): void {
+		const own = this.#fleet.hosts.get(this.#options.hostName);
+		if (own?.record.incarnation === this.#options.incarnation) {
+			this.#authority.renew(readStartedAt);
+		} else {
+			this.#registration.noteStored(undefined, own?.revision ?? 0);
+			this.#follower.pollNow();
+		}
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#sweeper?.[Symbol.dispose]();
+		this.#follower.stop();
+		for (const session of this.#sessions) {
+			session[Symbol.dispose]();
+		}
+
+		await this.#registration.remove();
+		for (const group of this.#groups.values()) {
+			for (const {pool} of group.instances.values()) {
+				pool[Symbol.dispose]();
+			}
+		}
+	}
+
+	#handleConfiguration({value, revision}: StoreItem): void {
+		const {formats, log} = this.#options;
+		const decoded = formats.decodeConfiguration(value);
+		if (decoded.isErr()) {
+			log.write('configuration-invalid', {revision, reason: decoded.error});
+			return;
+		}
+
+		const configuration = decoded.value;
+		if (this.#configuration && configuration.version <= this.#configuration.version) {
+			return;
+		}
+
+		this.#configuration = configuration;
+		for (const name of configuration.groups.keys()) {
+			if (!this.#groups.has(name)) {
+				this.#groups.set(name, new InstanceGroupState(name, this.#authority));
+			}
+		}
+
+		for (const entry of this.#entries.values()) {
+			if (!this.#groups.get(entry.group)?.instances.has(entry.id)) {
+				this.#addInstance(entry);
+			}
+		}
+
+		for (const item of [...this.#pendingRecords.values()]) {
+			this.#handleGroupRecord(item);
+		}
+
+		log.write('configuration-in-force', {version: configuration.version, revision, routes: configuration.routes.size});
+	}
+
+	#handleInstance({key, value, revision}: StoreItem): void {
+		const {formats, log} = this.#options;
+		const id = key.slice(formats.instancePrefix.length);
+		const decoded = formats.decodeInstance(id, value);
+		if (decoded.isErr()) {
+			log.write('instance-invalid', {instance: id, revision, reason: decoded.error});
+			return;
+		}
+
+		this.#entries.set(id, decoded.value);
+		this.#addInstance(decoded.value);
+	}
+
+	#addInstance(entry: InstanceEntry): void {
+		const group = this.#groups.get(entry.group);
+		if (!group) {
+			return;
+		}
+
+		const {dialer, timer, log} = this.#options;
+		const known = group.instances.get(entry.id);
+		if (known && known.pool.instance.address === entry.address && known.pool.instance.startedAt === entry.startedAt) {
+			delete known.missingSince;
+			known.pool.instance = entry;
+		} else {
+			known?.pool[Symbol.dispose]();
+			const pool = new InstancePool(entry, dialer, {timer, log, maximumConnections: this.#getShare(entry.group)});
+			group.instances.set(entry.id, {pool, behindUntil: 0});
+			pool.warmUp();
+		}
+
+		log.write('instance-listed', {
+			instance: entry.id, group: entry.group, zone: entry.availabilityZone, role: entry.role, leaving: entry.leaving, startedAt: entry.startedAt,
+		});
+		group.notifyChanged();
+	}
+
+	#handleGroupRecord({key, value, revision}: StoreItem): void {
+		const {timer, log} = this.#options;
+		const record = parseGroupRecord(value);
+		if (record.isErr()) {
+			log.write('record-invalid', {key, revision, reason: record.error});
+			return;
+		}
+
+		const group = this.#groups.get(key.slice(groupPrefix.length));
+		if (!group) {
+			this.#pendingRecords.set(key, {key, value, revision});
+			return;
+		}
+
+		this.#pendingRecords.delete(key);
+
+		if (group.updateRecord({...record.value, revision, learntAt: timer.now()})) {
+			log.write('group-record', {group: group.name, phase: record.value.phase, primary: record.value.primary, term: record.value.term, revision});
+			this.#coordinator.evaluate(group);
+		}
+	}
+
+	#getShare(groupName: string): number {
+		return getConnectionShare(this.#configuration?.groups.get(groupName)?.connectionLimit ?? 0, this.#fleet.hosts.size);
+	}
+
+	#updateShares(): void {
+		for (const group of this.#groups.values()) {
+			for (const {pool} of group.instances.values()) {
+				pool.maximumConnections = this.#getShare(group.name);
+			}
+		}
+	}
+
+	#sweep(now: number): void {
+		for (const group of this.#groups.values()) {
+			for (const [id, known] of group.instances) {
+				known.pool.sweep(now);
+				if (known.missingSince !== undefined && now - known.missingSince > missingInstanceMilliseconds && this.#follower.isAvailable) {
+					this.#options.log.write('instance-gone', {instance: id, group: group.name});
+					known.pool[Symbol.dispose]();
+					group.instances.delete(id);
+				}
+			}
+
+			this.#coordinator.evaluate(group);
+		}
+
+		const idleLimit = this.#configuration?.idleTransactionMilliseconds;
+		if (idleLimit !== undefined) {
+			for (const session of this.#sessions) {
+				session.sweep(now, idleLimit);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/direct/src/process/host-registration.ts
@@ -0,0 +1,103 @@
+import {type SharedStore} from '@tarragonstack/core/adapters/shared-store';
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {type EventLog} from './event-log.js';
+import {type HostRecord} from './host-record.js';
+import {hostPrefix} from './store-keys.js';
+
+/** Time that a write may take, in milliseconds. */
+const writeTimeoutMilliseconds = 1000;
+
+/** Pause after a failed write, in milliseconds. */
+const failurePauseMilliseconds = 200;
+
+/** Keeps this host's record in the shared store as it should be. */
+export class HostRegistration {
+	readonly #store: SharedStore;
+	readonly #timer: TimerService;
+	readonly #log: EventLog;
+	readonly #key: string;
+	#desired: HostRecord;
+	#writtenText: string | undefined;
+	#revision = 0;
+	#isWriting = false;
+	#isStopped = false;
+
+	/**
+	 * @param options - Store, name of the host and its first record.
+	 */
+	constructor(options: {store: SharedStore; timer: TimerService; log: EventLog; hostName: string; record: HostRecord}) {
+		this.#store = options.store;
+		this.#timer = options.timer;
+		this.#log = options.log;
+		this.#key = `${hostPrefix}${options.hostName}`;
+		this.#desired = options.record;
+	}
+
+	/** Record that this host wants to be known. */
+	get record(): HostRecord {
+		return this.#desired;
+	}
+
+	/** Changes the record; the write follows. */
+	update(change: Partial<HostRecord>): void {
+		this.#desired = {...this.#desired, ...change};
+		void this.#write();
+	}
+
+	/**
+	 * Notes what the store holds.
+	 *
+	 * @param text - Value of the item, or `undefined` if there is none.
+	 * @param revision - Revision of the item; 0 if there is none.
+	 */
+	noteStored(text: string | undefined, revision: number): void {
+		if (revision === 0 || revision > this.#revision) {
+			this.#writtenText = text;
+			this.#revision = revision;
+		}
+
+		void this.#write();
+	}
+
+	/** Whether the store holds this process's record, as far as is known. */
+	get isRegistered(): boolean {
+		return this.#revision > 0 && this.#writtenText !== undefined && this.#writtenText.includes(this.#desired.incarnation);
+	}
+
+	/** Removes the record, because the host stops. */
+	async remove(): Promise<void> {
+		this.#isStopped = true;
+		await this.#store.commit({expected: [{key: this.#key, revision: this.#revision}], writes: [], removals: [this.#key]}, writeTimeoutMilliseconds);
+	}
+
+	async #write(): Promise<void> {
+		if (this.#isWriting) {
+			return;
+		}
+
+		this.#isWriting = true;
+		while (!this.#isStopped) {
+			const text = JSON.stringify(this.#desired);
+			if (text === this.#writtenText) {
+				break;
+			}
+
+			const outcome = await this.#store.commit({
+				expected: [{key: this.#key, revision: this.#revision}], writes: [{key: this.#key, value: text}], removals: [],
+			}, writeTimeoutMilliseconds);
+			if (outcome.isErr()) {
+				this.#log.write('registration-failed', {reason: outcome.error.message});
+				await this.#timer.sleep(failurePauseMilliseconds);
+			} else if (outcome.value.committed) {
+				this.#writtenText = text;
+				this.#revision = outcome.value.revision;
+			} else {
+				const current = outcome.value.current.find(({key}) => key === this.#key);
+				this.#revision = current?.revision ?? 0;
+				this.#writtenText = current?.value;
+			}
+		}
+
+		this.#isWriting = false;
+	}
+}
--- /dev/null
+++ b/packages/direct/src/process/index.ts
@@ -0,0 +1,16 @@
+export * from './direct-host.js';
+export type * from './event-log.js';
+export * from './fleet-view.js';
+export * from './graceful-stop.js';
+export * from './group-record.js';
+export * from './host-record.js';
+export * from './host-registration.js';
+export * from './instance-entry.js';
+export * from './instance-group-state.js';
+export type * from './platform-formats.js';
+export * from './primary-authority.js';
+export * from './promotion-coordinator.js';
+export * from './promotion-service.js';
+export * from './store-follower.js';
+export * from './store-keys.js';
+export * from './suspension-detector.js';
--- /dev/null
+++ b/packages/direct/src/process/instance-group-state.ts
@@ -0,0 +1,85 @@
+import {FreshnessLedger} from '../request/freshness-ledger.js';
+import {type InstancePool} from '../connection/instance-pool.js';
+import {GroupPhase, type VersionedGroupRecord} from './group-record.js';
+import {type PrimaryAuthority} from './primary-authority.js';
+
+/** Instance of a group as this host knows it. */
+export type KnownInstance = {
+	pool: InstancePool;
+	/** Monotonic time since which the instance has been missing from the list, or `undefined`. */
+	missingSince?: number;
+	/** Monotonic time until which the instance is expected to lag too far behind for reads. */
+	behindUntil: number;
+};
+
+/** What this host knows of one group. */
+export class InstanceGroupState {
+	/** Name of the group. */
+	readonly name: string;
+	/** Positions that this host saw at the primary. */
+	readonly ledger = new FreshnessLedger();
+	/** Instances by identifier. */
+	readonly instances = new Map<string, KnownInstance>();
+	readonly #authority: PrimaryAuthority;
+	#record: VersionedGroupRecord | undefined;
+	#changeListeners: Array<() => void> = [];
+
+	/**
+	 * @param name - Name of the group.
+	 * @param authority - Permission of this host to use primaries.
+	 */
+	constructor(name: string, authority: PrimaryAuthority) {
+		this.name = name;
+		this.#authority = authority;
+	}
+
+	/** Newest record of the group, or `undefined` before one exists. */
+	get record(): VersionedGroupRecord | undefined {
+		return this.#record;
+	}
+
+	/**
+	 * Takes over a record unless a newer one is known.
+	 *
+	 * @returns Whether the record was new.
+	 */
+	updateRecord(record: VersionedGroupRecord): boolean {
+		if (this.#record && this.#record.revision >= record.revision) {
+			return false;
+		}
+
+		this.#record = record;
+		this.notifyChanged();
+		return true;
+	}
+
+	/** Returns the primary if this host may send work to it now. */
+	getUsablePrimary(): {readonly known: KnownInstance; readonly reign: number} | undefined {
+		const record = this.#record;
+		if (record?.phase !== GroupPhase.Settled || !this.#authority.isValid()) {
+			return undefined;
+		}
+
+		const known = this.instances.get(record.primary);
+		return known && {known, reign: record.revision};
+	}
+
+	/** Returns whether the primary of a reign may still be used. */
+	isReignCurrent(reign: number): boolean {
+		return this.#record?.phase === GroupPhase.Settled && this.#record.revision === reign && this.#authority.isValid();
+	}
+
+	/** Wakes whoever waits for a change of the group. */
+	notifyChanged(): void {
+		const listeners = this.#changeListeners;
+		this.#changeListeners = [];
+		for (const listener of listeners) {
+			listener();
+		}
+	}
+
+	/** Calls a function at the next change of the group. */
+	onceChanged(listener: () => void): void {
+		this.#changeListeners.push(listener);
+	}
+}
--- /dev/null
+++ b/packages/direct/src/request/error-handling.ts
@@ -0,0 +1,31 @@
+import {StatementErrorCode} from './statement-error-code.js';
+
+/** What a host does after an error of the first statement that it sent to an instance. */
+export enum ErrorAction {
+	/** Passes the error on to the client. */
+	Return = 'return',
+	/** Tries another instance, or the same one later. */
+	TryElsewhere = 'try-elsewhere',
+	/** Tries the same instance after a short delay. */
+	TryLater = 'try-later',
+	/** Closes the connection, whose state is not as expected, and tries again. */
+	ReplaceConnection = 'replace-connection',
+}
+
+/** Actions by the code of the error. Only codes that state "not run" are tried again. */
+export const actionOfErrorCode: Readonly<Record<StatementErrorCode, ErrorAction>> = {
+	[StatementErrorCode.Overloaded]: ErrorAction.TryLater,
+	[StatementErrorCode.Behind]: ErrorAction.TryElsewhere,
+	[StatementErrorCode.ReadOnly]: ErrorAction.TryLater,
+	[StatementErrorCode.WrongInstance]: ErrorAction.ReplaceConnection,
+	[StatementErrorCode.TooManyConnections]: ErrorAction.ReplaceConnection,
+	[StatementErrorCode.UnknownPreparedStatement]: ErrorAction.ReplaceConnection,
+	[StatementErrorCode.Failed]: ErrorAction.Return,
+	[StatementErrorCode.TimedOut]: ErrorAction.Return,
+	[StatementErrorCode.Aborted]: ErrorAction.Return,
+	[StatementErrorCode.OutcomeUnknown]: ErrorAction.Return,
+	[StatementErrorCode.UnknownDatabase]: ErrorAction.Return,
+	[StatementErrorCode.TooLarge]: ErrorAction.Return,
+	[StatementErrorCode.Malformed]: ErrorAction.Return,
+	[StatementErrorCode.AccessDenied]: ErrorAction.Return,
+};
--- /dev/null
+++ b/packages/direct/src/request/read-placement.ts
@@ -0,0 +1,45 @@
+/** Instance that may serve a read. */
+export type ReadCandidate = {
+	/** Requests of this host that use or await a connection to it. */
+	readonly load: number;
+	/** Average time of a statement in milliseconds. */
+	readonly serviceTime: number;
+	readonly isLocalZone: boolean;
+	/** Whether the instance is expected to lag too far behind. */
+	readonly isBehind: boolean;
+	readonly isReachable: boolean;
+	/** Whether the instance was already tried for this read. */
+	readonly isTried: boolean;
+};
+
+/** Cost of a hop between zones in milliseconds: two one-way delays of 0.7 ms more than inside a zone, and the priced bytes. */
+const zoneHopMilliseconds = 3;
+
+/** Cost in milliseconds that puts unsuitable candidates behind all others without excluding them. */
+const unsuitableMilliseconds = 100_000;
+
+/**
+ * Chooses where a read runs: the candidate with the lowest expected finish time.
+ *
+ * @param candidates - Replicas that may serve the read.
+ * @returns Index of the candidate, or -1 if all have been tried or are unreachable.
+ */
+export function chooseReadCandidate(candidates: readonly ReadCandidate[]): number {
+	let best = -1;
+	let bestCost = Number.POSITIVE_INFINITY;
+	for (const [index, candidate] of candidates.entries()) {
+		if (candidate.isTried || !candidate.isReachable) {
+			continue;
+		}
+
+		const cost = ((candidate.load + 1) * candidate.serviceTime)
+			+ (candidate.isLocalZone ? 0 : zoneHopMilliseconds)
+			+ (candidate.isBehind ? unsuitableMilliseconds : 0);
+		if (cost < bestCost) {
+			best = index;
+			bestCost = cost;
+		}
+	}
+
+	return best;
+}
--- /dev/null
+++ b/packages/direct/src/version/index.ts
@@ -0,0 +1,1 @@
+export type * from './deployment-configuration.js';
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
 	test: {
-		include: ['packages/*/tests/**/*.test.ts'],
+		include: ['packages/*/tests/**/*.test.ts', 'platform/tests/**/*.test.ts'],
 		setupFiles: ['vitest.setup.ts'],
 		testTimeout: 60_000,
 		hookTimeout: 60_000,
