Limit the use of a primary by a lease that its promoter ends

Cause: a promotion waited 5 s for hosts that a partition had cut off, a change abandoned by a restarted fleet stayed for 7.5 s, and a single-flight error left later changes of a host's record unwritten, so no loss of a primary was agreed. Change: each host renews a lease every 200 ms (a tenth of the price of a read); a promoter ends the leases of hosts that do not confirm and waits 0.8 s. Hosts whose incarnation is gone are replaced as promoter at once. Silence counts from the first unanswered statement. Idle connections that end run nothing more.

--- a/packages/core/src/adapters/shared-store.ts
+++ b/packages/core/src/adapters/shared-store.ts
@@ -87,4 +87,30 @@
 	 * @param timeoutMilliseconds - Time after which the call fails.
 	 */
 	commit(transaction: StoreTransaction, timeoutMilliseconds: number): Promise<Result<StoreTransactionOutcome, StoreError>>;
+
+	/**
+	 * Creates a lease.
+	 *
+	 * @param timeToLiveMilliseconds - Time after which the lease ends unless it is renewed.
+	 * @param timeoutMilliseconds - Time after which the call fails.
+	 * @returns Identifier of the lease.
+	 */
+	createLease(timeToLiveMilliseconds: number, timeoutMilliseconds: number): Promise<Result<number, StoreError>>;
+
+	/**
+	 * Renews a lease.
+	 *
+	 * @param lease - Identifier of the lease.
+	 * @param timeoutMilliseconds - Time after which the call fails.
+	 * @returns Whether the lease existed when the call arrived.
+	 */
+	renewLease(lease: number, timeoutMilliseconds: number): Promise<Result<boolean, StoreError>>;
+
+	/**
+	 * Ends a lease.
+	 *
+	 * @param lease - Identifier of the lease.
+	 * @param timeoutMilliseconds - Time after which the call fails.
+	 */
+	endLease(lease: number, timeoutMilliseconds: number): Promise<Result<void, StoreError>>;
 };
--- a/packages/direct/src/connection/client-connection.ts
+++ b/packages/direct/src/connection/client-connection.ts
@@ -25,6 +25,7 @@
 	#session: ClientSession | undefined;
 	#isRunning = false;
 	#closesWhenIdle = false;
+	#isEnded = false;
 
 	/**
 	 * @param socket - Accepted connection.
@@ -61,7 +62,7 @@
 	closeWhenIdle(): void {
 		this.#closesWhenIdle = true;
 		if (!this.isBusy) {
-			this.#socket.end();
+			this.#end();
 		}
 	}
 
@@ -70,7 +71,18 @@
 		this.#socket.destroy();
 	}
 
+	/** Ends the connection. What arrives later could not be answered, so it is not executed either. */
+	#end(lastMessage = ''): void {
+		this.#isEnded = true;
+		this.#messages.length = 0;
+		this.#socket.end(lastMessage, 'latin1');
+	}
+
 	#receive(chunk: Buffer): void {
+		if (this.#isEnded) {
+			return;
+		}
+
 		this.#messages.push(...this.#codec.decode(chunk));
 		if (this.#messages.length > maximumQueuedMessages) {
 			this.#socket.pause();
@@ -98,7 +110,7 @@
 
 		this.#isRunning = false;
 		if (this.#closesWhenIdle && !this.isBusy) {
-			this.#socket.end();
+			this.#end();
 		}
 	}
 
@@ -131,7 +143,7 @@
 			}
 
 			case ClientMessageKind.Terminate: {
-				this.#socket.end();
+				this.#end();
 				break;
 			}
 		}
@@ -154,8 +166,7 @@
 	}
 
 	#fail(code: StatementErrorCode, message: string): void {
-		this.#messages.length = 0;
-		this.#socket.end(this.#codec.encodeFatalError(code, message));
+		this.#end(this.#codec.encodeFatalError(code, message));
 	}
 
 	async #write(text: string): Promise<void> {
--- a/packages/direct/src/connection/instance-pool.ts
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -14,6 +14,12 @@
 /** Delay before another attempt when the instance has no connection to spare, in milliseconds. */
 const fullBackoffMilliseconds = 250;
 
+/**
+ * Silence after which requests go elsewhere if they can, in milliseconds: several times a usual statement. It is much
+ * shorter than the silence after which a primary is replaced, because a wrong guess costs only a detour.
+ */
+const unresponsiveMilliseconds = 250;
+
 /** Weight of a new measurement in the average of the service time. */
 const serviceTimeWeight = 0.1;
 
@@ -52,6 +58,8 @@
 	#disposed = false;
 	#lastHeardAt: number;
 	#unreachableSince: number | undefined;
+	/** Monotonic time of the first statement or connection attempt since the last sign of life. */
+	#unansweredSince: number | undefined;
 	#serviceTime = initialServiceTimeMilliseconds;
 	#drained: (() => void) | undefined;
 
@@ -95,26 +103,24 @@
 	}
 
 	/**
-	 * Returns how long the instance has been silent although a response or a connection is outstanding.
+	 * Returns for how long the instance has answered nothing that was sent to it.
 	 *
 	 * @param now - Present monotonic time.
-	 * @returns Milliseconds; 0 if nothing is outstanding.
+	 * @returns Milliseconds; 0 if nothing was sent since its last answer.
 	 */
 	getSilence(now: number): number {
-		let oldest = this.#unreachableSince ?? Number.POSITIVE_INFINITY;
-		for (const [connection, since] of this.#busy) {
-			if (since > 0 && !connection.channel.closed) {
-				oldest = Math.min(oldest, since);
+		for (const connection of this.#busy.keys()) {
+			if (connection.channel.lastReceivedAt > this.#lastHeardAt) {
+				this.#heard(connection.channel.lastReceivedAt);
 			}
-
-			this.#lastHeardAt = Math.max(this.#lastHeardAt, connection.channel.lastReceivedAt);
 		}
 
-		for (const since of this.#dialing.values()) {
-			oldest = Math.min(oldest, since);
-		}
+		return this.#unansweredSince === undefined ? 0 : now - this.#unansweredSince;
+	}
 
-		return oldest === Number.POSITIVE_INFINITY ? 0 : Math.max(0, now - Math.max(oldest, this.#lastHeardAt));
+	/** Returns whether requests that other instances can serve should go to this one. */
+	isResponsive(now: number): boolean {
+		return this.#unreachableSince === undefined && this.getSilence(now) < unresponsiveMilliseconds;
 	}
 
 	/**
@@ -142,7 +148,9 @@
 
 	/** Notes that a statement is sent on a connection. */
 	noteSent(connection: PooledConnection): void {
-		this.#busy.set(connection, this.#timer.now());
+		const now = this.#timer.now();
+		this.#busy.set(connection, now);
+		this.#unansweredSince ??= now;
 	}
 
 	/**
@@ -221,6 +229,10 @@
 
 	/** Ends waits whose deadline has passed and retries connection attempts. Called at a fixed interval. */
 	sweep(now: number): void {
+		if (this.#waiting.length > 0 && !this.isResponsive(now)) {
+			this.#rejectWaiting(AcquireFailure.Closed);
+		}
+
 		if (this.#waiting.length > 0) {
 			const expired = this.#waiting.filter(waiter => waiter.request.deadline <= now);
 			if (expired.length > 0) {
@@ -231,7 +243,7 @@
 			}
 
 			this.#dialIfNeeded();
-		} else if (this.#unreachableSince !== undefined && this.#dialing.size === 0 && now >= this.#dialBlockedUntil && !this.#closed) {
+		} else if (this.#unansweredSince !== undefined && this.#dialing.size === 0 && this.#busy.size === 0 && now >= this.#dialBlockedUntil && !this.#closed) {
 			void this.#dial();
 		}
 	}
@@ -316,6 +328,7 @@
 		const attempt = Symbol('dial');
 		const startedAt = this.#timer.now();
 		this.#dialing.set(attempt, startedAt);
+		this.#unansweredSince ??= startedAt;
 		const outcome = await this.#dialer.dial(this.instance, dialTimeoutMilliseconds);
 		this.#dialing.delete(attempt);
 		if (outcome.isErr()) {
@@ -332,6 +345,7 @@
 	#handleDialFailure(error: ChannelError, startedAt: number): void {
 		const now = this.#timer.now();
 		if (error.failure === ChannelFailure.TooManyConnections) {
+			this.#heard();
 			this.#dialBlockedUntil = now + fullBackoffMilliseconds;
 		} else {
 			this.#dialBlockedUntil = now + dialBackoffMilliseconds;
@@ -346,8 +360,10 @@
 		}
 	}
 
-	#heard(): void {
-		this.#lastHeardAt = this.#timer.now();
+	#heard(at = this.#timer.now()): void {
+		this.#lastHeardAt = at;
+		const isOutstanding = this.#dialing.size > 0 || [...this.#busy.values()].some(sentAt => sentAt > 0);
+		this.#unansweredSince = isOutstanding ? at : undefined;
 		if (this.#unreachableSince !== undefined) {
 			this.#log.write('instance-reachable', {
 				instance: this.instance.id, group: this.instance.group, unreachableMilliseconds: Math.round(this.#lastHeardAt - this.#unreachableSince),
--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -184,7 +184,7 @@
 			serviceTime: pool.serviceTime,
 			isLocalZone: pool.instance.availabilityZone === this.#availabilityZone,
 			isBehind: behindUntil > now,
-			isReachable: pool.unreachableSince === undefined,
+			isReachable: pool.isResponsive(now),
 			isTried: tried.has(pool),
 		})))];
 	}
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -11,8 +11,9 @@
 import {parseGroupRecord} from './group-record.js';
 import {HostRegistration} from './host-registration.js';
 import {type InstanceEntry} from './instance-entry.js';
-import {InstanceGroupState} from './instance-group-state.js';
+import {InstanceGroupState, missingInstanceMilliseconds} from './instance-group-state.js';
 import {type PlatformFormats} from './platform-formats.js';
+import {LeaseKeeper} from './lease-keeper.js';
 import {PrimaryAuthority} from './primary-authority.js';
 import {PromotionCoordinator} from './promotion-coordinator.js';
 import {type PromotionService} from './promotion-service.js';
@@ -23,12 +24,6 @@
 /** Interval at which time limits are checked, in milliseconds. */
 const sweepIntervalMilliseconds = 25;
 
-/**
- * Time for which an instance that is missing from the list stays in use, in milliseconds. The entries of live instances
- * may lapse while the store is away, and are back within two seconds of its return.
- */
-const missingInstanceMilliseconds = 3000;
-
 /** Time without permission to use primaries after which the host asks for no new clients, in milliseconds. */
 const unauthorizedMilliseconds = 1000;
 
@@ -62,6 +57,7 @@
 	readonly #authority: PrimaryAuthority;
 	readonly #registration: HostRegistration;
 	readonly #follower: StoreFollower;
+	readonly #leaseKeeper: LeaseKeeper;
 	readonly #coordinator: PromotionCoordinator;
 	readonly #runner: StatementRunner;
 	#configuration: DeploymentConfiguration | undefined;
@@ -74,17 +70,22 @@
 	constructor(options: DirectHostOptions) {
 		const {timer, log, store, hostName, availabilityZone, incarnation, peerAddress} = options;
 		this.#options = options;
-		this.#fleet = new FleetView(timer, log);
+		this.#fleet = new FleetView(log);
 		this.#registration = new HostRegistration({
-			store, timer, log, hostName, record: {incarnation, availabilityZone, peerAddress, confirmed: {}, suspected: []},
+			store, timer, log, hostName, record: {incarnation, availabilityZone, peerAddress, lease: 0, confirmed: {}, suspected: []},
 		});
-		this.#follower = new StoreFollower({store, timer, log, listener: this, polledPrefix: fleetPrefix});
+		this.#follower = new StoreFollower({store, timer, log, listener: this});
 		this.#authority = new PrimaryAuthority(timer, new SuspensionDetector(timer, () => options.readWallClock()), () => {
 			log.write('suspension-detected', {});
-			this.#follower.pollNow();
+			this.#leaseKeeper.renewNow();
+		});
+		this.#leaseKeeper = new LeaseKeeper({
+			store, timer, log, registration: this.#registration, authority: this.#authority,
+			readFleet: async () => this.#follower.read(fleetPrefix),
 		});
 		this.#coordinator = new PromotionCoordinator({
 			...options, registration: this.#registration, fleet: this.#fleet, isStoreAvailable: () => this.#follower.isAvailable,
+			readFleet: async () => this.#follower.read(fleetPrefix),
 		});
 		this.#runner = new StatementRunner({timer, log, availabilityZone});
 	}
@@ -99,6 +100,7 @@
 	/** Begins to follow the store and to check time limits. */
 	start(): void {
 		this.#follower.start();
+		this.#leaseKeeper.start();
 		this.#sweeper = this.#options.timer.subscribe(sweepIntervalMilliseconds, now => {
 			this.#sweep(now);
 		});
@@ -181,27 +183,13 @@
 
 	/** @inheritdoc */
 	handleCaughtUp(): void {
-		if (!this.#fleet.hosts.has(this.#options.hostName)) {
-			this.#registration.update({});
-		}
-
 		this.#updateShares();
 	}
 
-	/** @inheritdoc */
-	handleFleetRead(readStartedAt: number): void {
-		const own = this.#fleet.hosts.get(this.#options.hostName);
-		if (own?.record.incarnation === this.#options.incarnation) {
-			this.#authority.renew(readStartedAt);
-		} else {
-			this.#registration.noteStored(undefined, own?.revision ?? 0);
-			this.#follower.pollNow();
-		}
-	}
-
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#sweeper?.[Symbol.dispose]();
 		this.#follower.stop();
+		this.#leaseKeeper.stop();
 		for (const session of this.#sessions) {
 			session[Symbol.dispose]();
 		}
@@ -322,7 +310,9 @@
 		for (const group of this.#groups.values()) {
 			for (const [id, known] of group.instances) {
 				known.pool.sweep(now);
-				if (known.missingSince !== undefined && now - known.missingSince > missingInstanceMilliseconds && this.#follower.isAvailable) {
+				// A primary stays in use until it is replaced, which begins after the same time.
+				if (known.missingSince !== undefined && now - known.missingSince > missingInstanceMilliseconds
+					&& this.#follower.isAvailable && group.record?.primary !== id) {
 					this.#options.log.write('instance-gone', {instance: id, group: group.name});
 					known.pool[Symbol.dispose]();
 					group.instances.delete(id);
--- a/packages/direct/src/process/fleet-view.ts
+++ b/packages/direct/src/process/fleet-view.ts
@@ -1,5 +1,4 @@
 import {type StoreItem} from '@tarragonstack/core/adapters/shared-store';
-import {type TimerService} from '@tarragonstack/core/time/timer-service';
 import {type EventLog} from './event-log.js';
 import {parseHostRecord, type HostRecord} from './host-record.js';
 
@@ -13,20 +12,14 @@
 export class FleetView {
 	/** Registered hosts by name. */
 	readonly hosts = new Map<string, FleetHost>();
-	readonly #lastSeen = new Map<string, number>();
-	readonly #timer: TimerService;
 	readonly #log: EventLog;
 	#promoter: StoreItem | undefined;
-	readonly #startedAt: number;
 
 	/**
-	 * @param timer - Monotonic clock.
 	 * @param log - Receives changes.
 	 */
-	constructor(timer: TimerService, log: EventLog) {
-		this.#timer = timer;
+	constructor(log: EventLog) {
 		this.#log = log;
-		this.#startedAt = timer.now();
 	}
 
 	/** Item of the promoter, or `undefined` if there is none. */
@@ -61,25 +54,13 @@
 		this.hosts.set(name, {record: record.value, revision: item.revision});
 	}
 
-	/** Removes a host. It may have permission to use primaries for some time. */
+	/**
+	 * Removes a host. A record is removed by the host itself when it uses no primary any more, or by a promoter after the
+	 * host's permission has run out; so a missing record means that the host has no permission.
+	 */
 	removeHost(name: string): void {
 		if (this.hosts.delete(name)) {
-			this.#lastSeen.set(name, this.#timer.now());
 			this.#log.write('host-gone', {host: name});
 		}
 	}
-
-	/**
-	 * Returns the hosts that were registered at a time or later.
-	 *
-	 * @param since - Monotonic time.
-	 */
-	getRecentHosts(since: number): string[] {
-		return [...new Set([...this.hosts.keys(), ...[...this.#lastSeen].filter(([, seenAt]) => seenAt >= since).map(([name]) => name)])];
-	}
-
-	/** Whether this process has observed the fleet for so long that it knows each host registered within a time. */
-	isComplete(milliseconds: number): boolean {
-		return this.#timer.now() - this.#startedAt >= milliseconds;
-	}
 }
--- a/packages/direct/src/process/host-record.ts
+++ b/packages/direct/src/process/host-record.ts
@@ -7,6 +7,8 @@
 	readonly availabilityZone: string;
 	/** Address of the host's peer listener, in the form `host:port`. */
 	readonly peerAddress: string;
+	/** Lease whose renewals permit the host to use primaries; 0 if it has none. */
+	readonly lease: number;
 	/** Change identifiers of the announced changes of a primary after which this host uses the old one no more. */
 	readonly confirmed: Readonly<Record<string, string>>;
 	/** Groups whose primary this host can't reach. */
@@ -25,6 +27,7 @@
 		return typeof value.incarnation === 'string'
 			&& typeof value.availabilityZone === 'string'
 			&& typeof value.peerAddress === 'string'
+			&& typeof value.lease === 'number'
 			&& typeof value.confirmed === 'object'
 			&& Array.isArray(value.suspected)
 			? ok(value as HostRecord)
--- a/packages/direct/src/process/host-registration.ts
+++ b/packages/direct/src/process/host-registration.ts
@@ -19,6 +19,7 @@
 	#desired: HostRecord;
 	#writtenText: string | undefined;
 	#revision = 0;
+	#writer: Promise<void> = Promise.resolve();
 	#isWriting = false;
 	#isStopped = false;
 
@@ -44,6 +45,17 @@
 		void this.#write();
 	}
 
+	/**
+	 * Changes the record and waits until the store holds the change.
+	 *
+	 * @returns Whether the store holds it; false if the host is stopping or the store doesn't answer.
+	 */
+	async updateAndWait(change: Partial<HostRecord>): Promise<boolean> {
+		this.#desired = {...this.#desired, ...change};
+		await this.#write();
+		return this.#writtenText === JSON.stringify(this.#desired);
+	}
+
 	/**
 	 * Notes what the store holds.
 	 *
@@ -70,11 +82,16 @@
 		await this.#store.commit({expected: [{key: this.#key, revision: this.#revision}], writes: [], removals: [this.#key]}, writeTimeoutMilliseconds);
 	}
 
-	async #write(): Promise<void> {
-		if (this.#isWriting) {
-			return;
+	/** Writes until the store holds the desired record. Calls share one writer. */
+	#write(): Promise<void> {
+		if (!this.#isWriting) {
+			this.#writer = this.#writeUntilStored();
 		}
 
+		return this.#writer;
+	}
+
+	async #writeUntilStored(): Promise<void> {
 		this.#isWriting = true;
 		while (!this.#isStopped) {
 			const text = JSON.stringify(this.#desired);
--- a/packages/direct/src/process/index.ts
+++ b/packages/direct/src/process/index.ts
@@ -8,6 +8,7 @@
 export * from './instance-entry.js';
 export * from './instance-group-state.js';
 export type * from './platform-formats.js';
+export * from './lease-keeper.js';
 export * from './primary-authority.js';
 export * from './promotion-coordinator.js';
 export * from './promotion-service.js';
--- a/packages/direct/src/process/instance-group-state.ts
+++ b/packages/direct/src/process/instance-group-state.ts
@@ -3,6 +3,12 @@
 import {GroupPhase, type VersionedGroupRecord} from './group-record.js';
 import {type PrimaryAuthority} from './primary-authority.js';
 
+/**
+ * Time for which an instance that is missing from the list stays in use, in milliseconds. The entries of live instances
+ * may lapse while the store is away, and are back within two seconds of its return.
+ */
+export const missingInstanceMilliseconds = 3000;
+
 /** Instance of a group as this host knows it. */
 export type KnownInstance = {
 	pool: InstancePool;
--- /dev/null
+++ b/packages/direct/src/process/lease-keeper.ts
@@ -0,0 +1,114 @@
+import {type SharedStore} from '@tarragonstack/core/adapters/shared-store';
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {type EventLog} from './event-log.js';
+import {type HostRegistration} from './host-registration.js';
+import {type PrimaryAuthority} from './primary-authority.js';
+
+/** Time after which a lease that nobody renews ends, in milliseconds. It outlasts outages of the store. */
+const timeToLiveMilliseconds = 20_000;
+
+/** Interval between renewals, in milliseconds; two may fail within the time that one renewal permits. */
+const renewalIntervalMilliseconds = 200;
+
+/** Time that a renewal may take, in milliseconds. */
+const renewalTimeoutMilliseconds = 600;
+
+/** Pause after a failed call, in milliseconds. Failed calls are priced as well. */
+const failurePauseMilliseconds = 200;
+
+/** Services of a `LeaseKeeper`. */
+export type LeaseKeeperOptions = {
+	readonly store: SharedStore;
+	readonly timer: TimerService;
+	readonly log: EventLog;
+	readonly registration: HostRegistration;
+	readonly authority: PrimaryAuthority;
+	/** Reads the records of the fleet; returns whether the store answered. */
+	readFleet(): Promise<boolean>;
+};
+
+/**
+ * Keeps the permission of this host to use primaries.
+ *
+ * The host states its lease in its record and then reads the records of the fleet. A change of a primary that this read
+ * does not show is announced later, so its promoter finds the lease in the record and ends it, unless the host confirms
+ * the change. A renewal that succeeds therefore proves that no such change had come so far.
+ */
+export class LeaseKeeper {
+	readonly #options: LeaseKeeperOptions;
+	readonly #abort = new AbortController();
+	#wake = new AbortController();
+
+	/**
+	 * @param options - Services.
+	 */
+	constructor(options: LeaseKeeperOptions) {
+		this.#options = options;
+	}
+
+	/** Acquires a lease and renews it until `stop` is called. */
+	start(): void {
+		void this.#run();
+	}
+
+	/** Ends the renewals. */
+	stop(): void {
+		this.#abort.abort();
+		this.#wake.abort();
+	}
+
+	/** Renews the lease at once. */
+	renewNow(): void {
+		this.#wake.abort();
+	}
+
+	async #run(): Promise<void> {
+		const {timer, log} = this.#options;
+		while (!this.#abort.signal.aborted) {
+			const lease = await this.#acquire();
+			if (lease === undefined) {
+				await timer.sleep(failurePauseMilliseconds, this.#abort.signal);
+				continue;
+			}
+
+			log.write('lease-gained', {lease});
+			await this.#renew(lease);
+			log.write('lease-lost', {lease});
+		}
+	}
+
+	/** Creates a lease and returns it once the record states it and the records of the fleet have been read. */
+	async #acquire(): Promise<number | undefined> {
+		const {store, registration, readFleet, log} = this.#options;
+		const lease = await store.createLease(timeToLiveMilliseconds, renewalTimeoutMilliseconds);
+		if (lease.isErr()) {
+			log.write('lease-unavailable', {reason: lease.error.message});
+			return undefined;
+		}
+
+		return await registration.updateAndWait({lease: lease.value}) && await readFleet() ? lease.value : undefined;
+	}
+
+	/** Renews a lease until it has ended. */
+	async #renew(lease: number): Promise<void> {
+		const {store, timer, registration, authority} = this.#options;
+		while (!this.#abort.signal.aborted) {
+			this.#wake = new AbortController();
+			const requestedAt = timer.now();
+			const outcome = await store.renewLease(lease, renewalTimeoutMilliseconds);
+			if (outcome.isOk() && !outcome.value) {
+				return;
+			}
+
+			if (!registration.isRegistered) {
+				return;
+			}
+
+			if (outcome.isOk()) {
+				authority.renew(requestedAt);
+			}
+
+			await timer.sleep(outcome.isOk() ? renewalIntervalMilliseconds : failurePauseMilliseconds, this.#wake.signal);
+		}
+	}
+}
--- a/packages/direct/src/process/primary-authority.ts
+++ b/packages/direct/src/process/primary-authority.ts
@@ -2,34 +2,35 @@
 import {type SuspensionDetector} from './suspension-detector.js';
 
 /**
- * Time for which a read of the fleet's records allows a host to use the primaries that they name, in milliseconds.
- * It bridges outages of the store of a few seconds. A promoter waits as long for hosts that do not confirm.
+ * Time for which a renewal of its lease allows a host to use primaries, in milliseconds. A promoter ends the leases of
+ * hosts that do not confirm a change, and then waits as long.
  */
-export const authorityMilliseconds = 5000;
+export const authorityMilliseconds = 800;
 
-/** Time by which the hosts' clocks may drift apart within `authorityMilliseconds`, in milliseconds. */
+/** Time by which the hosts' clocks may drift apart, and timers fire late, within `authorityMilliseconds`, in milliseconds. */
 export const authorityMarginMilliseconds = 100;
 
 /**
  * Permission of this host to send work to primaries.
  *
- * A promotion is ordered only after each host has confirmed the announced change or its permission has run out.
+ * A promotion is ordered only after each host has confirmed the announced change, or its lease has been ended and its
+ * permission has run out.
  */
 export class PrimaryAuthority {
 	readonly #timer: TimerService;
 	readonly #suspension: SuspensionDetector;
-	readonly #requestConfirmation: () => void;
+	readonly #requestRenewal: () => void;
 	#validUntil = 0;
 
 	/**
 	 * @param timer - Monotonic clock.
 	 * @param suspension - Detects that the monotonic clock stood still.
-	 * @param requestConfirmation - Called when the records have to be read again at once.
+	 * @param requestRenewal - Called when the lease has to be renewed at once.
 	 */
-	constructor(timer: TimerService, suspension: SuspensionDetector, requestConfirmation: () => void) {
+	constructor(timer: TimerService, suspension: SuspensionDetector, requestRenewal: () => void) {
 		this.#timer = timer;
 		this.#suspension = suspension;
-		this.#requestConfirmation = requestConfirmation;
+		this.#requestRenewal = requestRenewal;
 	}
 
 	/** Monotonic time until which the permission holds. */
@@ -40,11 +41,11 @@
 	/**
 	 * Renews the permission.
 	 *
-	 * @param readStartedAt - Monotonic time before the records were read. They named this host as registered.
+	 * @param requestedAt - Monotonic time before the lease was renewed.
 	 */
-	renew(readStartedAt: number): void {
+	renew(requestedAt: number): void {
 		if (!this.#checkSuspension()) {
-			this.#validUntil = Math.max(this.#validUntil, readStartedAt + authorityMilliseconds);
+			this.#validUntil = Math.max(this.#validUntil, requestedAt + authorityMilliseconds);
 		}
 	}
 
@@ -59,7 +60,7 @@
 		}
 
 		this.#validUntil = 0;
-		this.#requestConfirmation();
+		this.#requestRenewal();
 		return true;
 	}
 }
--- a/packages/direct/src/process/promotion-coordinator.ts
+++ b/packages/direct/src/process/promotion-coordinator.ts
@@ -9,10 +9,10 @@
 import {type FleetView} from './fleet-view.js';
 import {type HostRegistration} from './host-registration.js';
 import {InstanceRole} from './instance-entry.js';
-import {type InstanceGroupState, type KnownInstance} from './instance-group-state.js';
+import {missingInstanceMilliseconds, type InstanceGroupState, type KnownInstance} from './instance-group-state.js';
 import {authorityMarginMilliseconds, authorityMilliseconds} from './primary-authority.js';
 import {PromotionAnswer, type PromotionService} from './promotion-service.js';
-import {groupPrefix, hostPrefix, promoterKey} from './store-keys.js';
+import {groupPrefix, promoterKey} from './store-keys.js';
 
 /** Time that a call to the store or to the promotion service may take, in milliseconds. */
 const callTimeoutMilliseconds = 1000;
@@ -38,8 +38,11 @@
 /** Time without progress after which another host takes over a change that was begun, in milliseconds. */
 const stalledChangeMilliseconds = authorityMilliseconds + promotionTimeoutMilliseconds;
 
+/** Time for which hosts may confirm a change before their leases are ended, in milliseconds. */
+const promptConfirmationMilliseconds = 150;
+
 /** Time for which a connection in use may end its statement before a host confirms an announced change, in milliseconds. */
-const confirmationGraceMilliseconds = 250;
+const confirmationGraceMilliseconds = 100;
 
 /** Time for which a primary must have been the only claimant before the first record names it, in milliseconds. */
 const firstRecordDelayMilliseconds = 200;
@@ -62,6 +65,8 @@
 	readonly fleet: FleetView;
 	/** Whether the store answers this host. */
 	isStoreAvailable(): boolean;
+	/** Reads the records of the fleet; returns whether the store answered. */
+	readFleet(): Promise<boolean>;
 };
 
 /**
@@ -76,6 +81,7 @@
 	readonly #running = new Set<string>();
 	readonly #neededSince = new Map<string, number>();
 	readonly #closing = new Set<string>();
+	readonly #unknownSince = new Map<string, number>();
 
 	/**
 	 * @param options - Services.
@@ -118,6 +124,10 @@
 		}
 
 		void this.#runOnce(group, async () => {
+			if (!this.#options.fleet.promoter) {
+				await this.#takeDuty();
+			}
+
 			await this.#commitRecord(group, 0, {
 				phase: GroupPhase.Settled, primary: claimant.pool.instance.id, term: 0,
 				promoter: this.#options.hostName, fencingToken: 0, changeIdentifier: randomUUID(),
@@ -142,8 +152,14 @@
 	#observe(group: InstanceGroupState, record: GroupRecord) {
 		const now = this.#options.timer.now();
 		const known = group.instances.get(record.primary);
+		if (known) {
+			this.#unknownSince.delete(group.name);
+		} else if (!this.#unknownSince.has(group.name)) {
+			this.#unknownSince.set(group.name, now);
+		}
+
 		return {
-			isListed: known !== undefined,
+			unknownMilliseconds: Math.round(now - (this.#unknownSince.get(group.name) ?? now)),
 			silenceMilliseconds: Math.round(known?.pool.getSilence(now) ?? 0),
 			unreachableMilliseconds: known?.pool.unreachableSince === undefined ? 0 : Math.round(now - known.pool.unreachableSince),
 		};
@@ -157,8 +173,11 @@
 		return this.#isLeaving(group, record) || this.#isLost(group);
 	}
 
+	/** Whether the primary is about to stop, or has been off the list for so long that it must get no more work. */
 	#isLeaving(group: InstanceGroupState, record: GroupRecord): boolean {
-		return group.instances.get(record.primary)?.pool.instance.leaving === true;
+		const known = group.instances.get(record.primary);
+		return known !== undefined
+			&& (known.pool.instance.leaving || this.#options.timer.now() - (known.missingSince ?? Number.POSITIVE_INFINITY) > missingInstanceMilliseconds);
 	}
 
 	#isLost(group: InstanceGroupState): boolean {
@@ -176,14 +195,14 @@
 		const isPromoter = promoter?.host === hostName && promoter.incarnation === this.#options.registration.record.incarnation;
 		const others = [...fleet.hosts.keys()].filter(name => name !== promoter?.host).toSorted();
 		const rank = Math.max(0, others.indexOf(hostName));
-		const isPromoterGone = promoter === undefined || !fleet.hosts.has(promoter.host) || promoter.host === hostName;
+		const isPromoterGone = promoter === undefined || fleet.hosts.get(promoter.host)?.record.incarnation !== promoter.incarnation;
 		const delay = isPromoter ? 0 : (isPromoterGone ? 0 : takeoverDelayMilliseconds) + (rank * takeoverStaggerMilliseconds);
 		const isOwnChange = isPromoter && record.promoter === hostName && record.fencingToken === promoter.fencingToken;
 		if (record.phase === GroupPhase.Settled || (isPromoter && !isOwnChange)) {
 			if (this.#isDue(group.name, delay)) {
 				void this.#runOnce(group, async () => this.#changePrimary(group, record, isPromoter ? promoter : undefined));
 			}
-		} else if (this.#options.timer.now() - record.learntAt > (isOwnChange ? stepMilliseconds : stalledChangeMilliseconds + delay)) {
+		} else if (this.#options.timer.now() - record.learntAt > (isOwnChange || isPromoterGone ? stepMilliseconds : stalledChangeMilliseconds) + delay) {
 			void this.#runOnce(group, async () => this.#changePrimary(group, record, isPromoter ? promoter : undefined));
 		}
 	}
@@ -310,6 +329,7 @@
 			removals: [],
 		}, callTimeoutMilliseconds);
 		if (outcome.isErr() || !outcome.value.committed) {
+			log.write('duty-not-taken', {previous: previous?.host, reason: outcome.isErr() ? outcome.error.message : 'another host took it'});
 			return undefined;
 		}
 
@@ -361,50 +381,72 @@
 	/** Waits until no host uses the primary. Returns false if the primary answers again and the change can be given up. */
 	async #waitForConfirmations(group: InstanceGroupState, announced: VersionedGroupRecord, mayGiveUp: boolean): Promise<boolean> {
 		const {timer, fleet, log} = this.#options;
-		const until = timer.now() + authorityMilliseconds + authorityMarginMilliseconds;
-		const awaited = fleet.getRecentHosts(timer.now() - authorityMilliseconds);
+		const startedAt = timer.now();
 		const primary = group.instances.get(announced.primary);
+		// Hosts that register after this read find the announcement in the records that they read afterwards.
+		await this.#readHosts();
+		const awaited = [...fleet.hosts.keys()];
+		const expiries = new Map<string, number>();
+		let hasAnswered = false;
+		let isWaiting = true;
+		const watchPrimary = async () => {
+			while (isWaiting && !hasAnswered && primary) {
+				hasAnswered = await this.#answers(primary);
+				await timer.sleep(stepMilliseconds);
+			}
+		};
+
+		if (mayGiveUp) {
+			void watchPrimary();
+		}
+
 		for (;;) {
 			const missing = awaited.filter(name => {
 				const host = fleet.hosts.get(name);
-				return host === undefined || host.record.confirmed[group.name] !== announced.changeIdentifier;
+				return host !== undefined && host.record.confirmed[group.name] !== announced.changeIdentifier && !(timer.now() >= (expiries.get(name) ?? Number.POSITIVE_INFINITY));
 			});
-			const newcomers = [...fleet.hosts].filter(([name, {record}]) => !awaited.includes(name) && record.confirmed[group.name] !== announced.changeIdentifier);
-			if (missing.length === 0 && newcomers.length === 0 && fleet.isComplete(authorityMilliseconds)) {
-				return true;
-			}
+			if (missing.length === 0) {
+				isWaiting = false;
+				if (expiries.size > 0) {
+					log.write('permissions-expired', {group: group.name, hosts: [...expiries.keys()].join(','), waitedMilliseconds: Math.round(timer.now() - startedAt)});
+				}
 
-			if (timer.now() >= until) {
-				log.write('confirmations-expired', {group: group.name, missing: missing.join(',')});
-				await this.#removeHosts(missing);
 				return true;
 			}
 
-			if (mayGiveUp && primary && await this.#answers(primary)) {
+			if (hasAnswered) {
 				return false;
 			}
 
+			if (timer.now() - startedAt >= promptConfirmationMilliseconds) {
+				await Promise.all(missing.filter(name => !expiries.has(name)).map(async name => this.#endLease(name, expiries)));
+			}
+
 			await timer.sleep(stepMilliseconds);
 		}
 	}
 
-	async #answers(known: KnownInstance): Promise<boolean> {
-		const status = await this.#readStatus(known);
-		return status?.isPrimary === true;
+	async #readHosts(): Promise<void> {
+		while (!(await this.#options.readFleet())) {
+			await this.#options.timer.sleep(stepMilliseconds * 4);
+		}
 	}
 
-	async #removeHosts(names: readonly string[]): Promise<void> {
-		const {fleet, store, log} = this.#options;
-		for (const name of names) {
-			const host = fleet.hosts.get(name);
-			if (host) {
-				const key = `${hostPrefix}${name}`;
-				const outcome = await store.commit({expected: [{key, revision: host.revision}], writes: [], removals: [key]}, callTimeoutMilliseconds);
-				log.write('host-removed', {host: name, outcome: outcome.isOk() ? String(outcome.value.committed) : outcome.error.message});
-			}
+	/** Ends the lease of a host that has not confirmed, and notes when its permission to use primaries runs out. */
+	async #endLease(name: string, expiries: Map<string, number>): Promise<void> {
+		const {store, timer, fleet} = this.#options;
+		const lease = fleet.hosts.get(name)?.record.lease ?? 0;
+		const outcome = lease === 0 ? undefined : await store.endLease(lease, callTimeoutMilliseconds);
+		if (!outcome?.isErr()) {
+			expiries.set(name, timer.now() + authorityMilliseconds + authorityMarginMilliseconds);
 		}
 	}
 
+	async #answers(known: KnownInstance): Promise<boolean> {
+		const status = await this.#readStatus(known);
+		return status?.isPrimary === true;
+	}
+
 	async #chooseCandidate(group: InstanceGroupState, announced: GroupRecord, isPlanned: boolean): Promise<KnownInstance | undefined> {
 		const {timer} = this.#options;
 		const until = timer.now() + catchUpMilliseconds;
--- a/packages/direct/src/process/store-follower.ts
+++ b/packages/direct/src/process/store-follower.ts
@@ -5,18 +5,15 @@
 /** Time that a call to the store may take, in milliseconds; it answers in 4 ms, and 60 times later when it is slow. */
 const callTimeoutMilliseconds = 1000;
 
-/** Longest time that a watch stays open without changes, in milliseconds. Each watch is one priced call. */
-const watchMilliseconds = 20_000;
+/**
+ * Longest time that a watch stays open without changes, in milliseconds. Each watch is one priced call; a watch whose
+ * connection went silent is noticed after this time, before a change of the configuration is overdue.
+ */
+const watchMilliseconds = 2500;
 
 /** Pause after a failed call, in milliseconds. Failed calls are priced as well. */
 const failurePauseMilliseconds = 250;
 
-/** Interval between reads of the fleet's records, in milliseconds; several fit into the time that one read permits. */
-const pollIntervalMilliseconds = 1500;
-
-/** Time that the changes of a poll may take to arrive by the watch, in milliseconds, before the watch is taken for dead. */
-const watchDelayMilliseconds = 700;
-
 /** Receiver of the items of the store. */
 export type StoreListener = {
 	/** Called for each item that was written, in order of revision. */
@@ -25,8 +22,6 @@
 	handleRemoval(key: string): void;
 	/** Called when all changes of one call have been reported. */
 	handleCaughtUp(): void;
-	/** Called after a read of the fleet's records that is not older than its start. */
-	handleFleetRead(readStartedAt: number): void;
 };
 
 /** Options of `StoreFollower`. */
@@ -35,8 +30,6 @@
 	readonly timer: TimerService;
 	readonly log: EventLog;
 	readonly listener: StoreListener;
-	/** Prefix of the records that are read at an interval. */
-	readonly polledPrefix: string;
 };
 
 /** Keeps a host informed of all items of the shared store. */
@@ -45,8 +38,6 @@
 	readonly #revisions = new Map<string, number>();
 	readonly #abort = new AbortController();
 	#watchedRevision = 0;
-	#polledAheadSince: number | undefined;
-	#wakePoll = new AbortController();
 	#isAvailable = true;
 	#hasSnapshot = false;
 
@@ -65,18 +56,29 @@
 	/** Follows the store until `stop` is called. */
 	start(): void {
 		void this.#follow();
-		void this.#poll();
 	}
 
 	/** Ends the calls that would follow. */
 	stop(): void {
 		this.#abort.abort();
-		this.#wakePoll.abort();
 	}
 
-	/** Reads the fleet's records at once. */
-	pollNow(): void {
-		this.#wakePoll.abort();
+	/**
+	 * Reads all items below a prefix at once.
+	 *
+	 * @param prefix - Start of the keys.
+	 * @returns Whether the store answered.
+	 */
+	async read(prefix: string): Promise<boolean> {
+		const outcome = await this.#options.store.readRange(prefix, callTimeoutMilliseconds);
+		if (outcome.isErr()) {
+			this.#noteAvailable(false, outcome.error.message);
+			return false;
+		}
+
+		this.#noteAvailable(true, '');
+		this.#applySnapshot(prefix, outcome.value.items, outcome.value.revision);
+		return true;
 	}
 
 	async #follow(): Promise<void> {
@@ -116,38 +118,6 @@
 		return true;
 	}
 
-	async #poll(): Promise<void> {
-		const {store, timer, listener, polledPrefix} = this.#options;
-		while (!this.#abort.signal.aborted) {
-			this.#wakePoll = new AbortController();
-			if (this.#hasSnapshot) {
-				const readStartedAt = timer.now();
-				const outcome = await store.readRange(polledPrefix, callTimeoutMilliseconds);
-				this.#noteAvailable(outcome.isOk(), outcome.isErr() ? outcome.error.message : '');
-				if (outcome.isOk()) {
-					this.#applySnapshot(polledPrefix, outcome.value.items, outcome.value.revision);
-					listener.handleFleetRead(readStartedAt);
-					this.#checkWatch(outcome.value.revision);
-				}
-			}
-
-			await timer.sleep(this.#hasSnapshot && this.#isAvailable ? pollIntervalMilliseconds : failurePauseMilliseconds, this.#wakePoll.signal);
-		}
-	}
-
-	/** Reads everything again if the watch is behind a poll for long; its connection may have gone silent. */
-	#checkWatch(revision: number): void {
-		const now = this.#options.timer.now();
-		if (revision <= this.#watchedRevision) {
-			this.#polledAheadSince = undefined;
-		} else if (this.#polledAheadSince === undefined) {
-			this.#polledAheadSince = now;
-		} else if (now - this.#polledAheadSince > watchDelayMilliseconds) {
-			this.#polledAheadSince = undefined;
-			void this.#readSnapshot();
-		}
-	}
-
 	#apply(changes: readonly StoreChange[]): void {
 		for (const change of changes) {
 			if (change.revision <= (this.#revisions.get(change.key) ?? 0)) {
--- a/packages/direct/src/request/suspicion.ts
+++ b/packages/direct/src/request/suspicion.ts
@@ -1,18 +1,21 @@
 /** What a host observes of a primary. */
 export type PrimaryObservation = {
-	/** Whether the instance is on the list of running instances. */
-	readonly isListed: boolean;
+	/** Milliseconds for which this host has known no address of it. */
+	readonly unknownMilliseconds: number;
 	/** Milliseconds for which it has been silent although something is outstanding. */
 	readonly silenceMilliseconds: number;
 	/** Milliseconds since the first failed connection attempt; 0 if the last one succeeded. */
 	readonly unreachableMilliseconds: number;
 };
 
-/** Silence after which a primary is suspected, in milliseconds: ten times the longest usual statement. */
-const suspiciousSilenceMilliseconds = 600;
+/** Silence after which a primary is suspected, in milliseconds: several times the longest usual statement. */
+const suspiciousSilenceMilliseconds = 400;
 
-/** Time for which connection attempts must fail before a primary is suspected, in milliseconds; it covers a lost packet's repetition. */
-const suspiciousUnreachableMilliseconds = 250;
+/** Time for which connection attempts must fail before a primary is suspected, in milliseconds; one more attempt fits in. */
+const suspiciousUnreachableMilliseconds = 150;
+
+/** Time without an address after which a primary is suspected, in milliseconds: entries that lapsed are back within 2 s. */
+const suspiciousUnknownMilliseconds = 3000;
 
 /**
  * Returns whether a primary appears to be lost.
@@ -20,7 +23,7 @@
  * @param observation - What this host observes.
  */
 export function isSuspicious(observation: PrimaryObservation): boolean {
-	return !observation.isListed
+	return observation.unknownMilliseconds >= suspiciousUnknownMilliseconds
 		|| observation.silenceMilliseconds >= suspiciousSilenceMilliseconds
 		|| observation.unreachableMilliseconds >= suspiciousUnreachableMilliseconds;
 }
