Extend the permission to use primaries by reports of a majority of hosts

Cause: while the store was down, or turned a host away, each host stopped using primaries after 0.8 s, and bounded reads ran out of fresh positions soon after. Change: a host whose lease is not renewed asks the others by datagram for the records that they obey; a majority without a newer change stands in for the lease for up to 12 s. A promoter that a majority has not confirmed waits as long. A primary off the list that answers is replaced after 4.5 s.

--- a/packages/direct/src/connection/index.ts
+++ b/packages/direct/src/connection/index.ts
@@ -7,3 +7,4 @@
 export * from './run-statement.js';
 export * from './statement-runner.js';
 export * from './upstream-channel.js';
+export * from './datagram-transport.js';
--- /dev/null
+++ b/packages/direct/src/process/authority-witness.ts
@@ -0,0 +1,139 @@
+import {randomInt} from 'node:crypto';
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {type PeerTransport} from '../connection/datagram-transport.js';
+import {isMajority} from '../request/majority.js';
+import {type EventLog} from './event-log.js';
+import {type FleetView} from './fleet-view.js';
+import {parseGroupRecord, type GroupRecord} from './group-record.js';
+import {authorityMilliseconds, type PrimaryAuthority} from './primary-authority.js';
+
+/**
+ * Time after the last renewal of the lease for which reports of other hosts may replace it, in milliseconds. It exceeds
+ * usual outages of the store. A promoter that a majority has not confirmed waits as long.
+ */
+export const witnessedMilliseconds = 12_000;
+
+/** Interval between questions, in milliseconds. */
+const questionIntervalMilliseconds = 150;
+
+/** Time without a renewal after which other hosts are asked, in milliseconds. */
+const renewalDelayMilliseconds = 350;
+
+/** Group record as hosts report it to each other. */
+type ReportedRecord = {
+	readonly group: string;
+	readonly revision: number;
+	/** JSON text of the record, as in the store. */
+	readonly text: string;
+};
+
+type Question = {readonly kind: 'question'; readonly number: number};
+type Report = {readonly kind: 'report'; readonly number: number; readonly host: string; readonly records: readonly ReportedRecord[]};
+
+/** Services of an `AuthorityWitness`. */
+export type AuthorityWitnessOptions = {
+	readonly hostName: string;
+	readonly transport: PeerTransport;
+	readonly timer: TimerService;
+	readonly log: EventLog;
+	readonly fleet: FleetView;
+	readonly authority: PrimaryAuthority;
+	/** Returns the records of all groups, as this host knows and obeys them. */
+	getRecords(): Iterable<{readonly group: string; readonly revision: number; readonly record: GroupRecord}>;
+	/** Takes over a record that another host reported. */
+	handleRecord(group: string, record: GroupRecord, revision: number): void;
+};
+
+/**
+ * Extends the permission to use primaries while the store does not answer this host.
+ *
+ * A promoter waits until a majority of the hosts has confirmed its change, and for the time of one permission after
+ * that. A majority whose reports name no newer change therefore proves that no promotion is ordered within that time.
+ */
+export class AuthorityWitness {
+	readonly #options: AuthorityWitnessOptions;
+	#number = randomInt(2 ** 30);
+	#askedAt = 0;
+	#reporters = new Set<string>();
+	#hasMajority = true;
+
+	/**
+	 * @param options - Services.
+	 */
+	constructor(options: AuthorityWitnessOptions) {
+		this.#options = options;
+		options.transport.onMessage = (message, from) => {
+			this.#handleMessage(message, from);
+		};
+	}
+
+	/** Asks the other hosts if the lease has not been renewed for some time. Called at a fixed interval. */
+	sweep(now: number): void {
+		const {authority, fleet, hostName, transport} = this.#options;
+		const isRenewed = now < authority.validUntil - authorityMilliseconds + renewalDelayMilliseconds;
+		if (isRenewed || now > authority.leaseRenewedAt + witnessedMilliseconds || now < this.#askedAt + questionIntervalMilliseconds) {
+			return;
+		}
+
+		this.#number++;
+		this.#askedAt = now;
+		this.#reporters = new Set([hostName]);
+		const question: Question = {kind: 'question', number: this.#number};
+		for (const [name, {record}] of fleet.hosts) {
+			if (name !== hostName) {
+				transport.send(record.peerAddress, question);
+			}
+		}
+
+		this.#renewIfMajority();
+	}
+
+	#handleMessage(message: unknown, from: string): void {
+		const {kind, number} = message as Partial<Question | Report>;
+		if (kind === 'question' && typeof number === 'number') {
+			this.#report(number, from);
+		} else if (kind === 'report' && number === this.#number) {
+			this.#handleReport(message as Report);
+		}
+	}
+
+	#report(number: number, receiver: string): void {
+		const {getRecords, transport, hostName} = this.#options;
+		const records: ReportedRecord[] = [...getRecords()].map(({group, revision, record}) => ({group, revision, text: JSON.stringify(record)}));
+		const report: Report = {kind: 'report', number, host: hostName, records};
+		transport.send(receiver, report);
+	}
+
+	#handleReport({host, records}: Report): void {
+		const {handleRecord, log, fleet} = this.#options;
+		if (!fleet.hosts.has(host) || !Array.isArray(records)) {
+			return;
+		}
+
+		for (const {group, revision, text} of records) {
+			const record = parseGroupRecord(text);
+			if (record.isErr()) {
+				log.write('record-invalid', {key: group, revision, reason: record.error});
+				return;
+			}
+
+			handleRecord(group, record.value, revision);
+		}
+
+		this.#reporters.add(host);
+		this.#renewIfMajority();
+	}
+
+	#renewIfMajority(): void {
+		const {authority, fleet, log, timer} = this.#options;
+		const hasMajority = isMajority(this.#reporters.size, fleet.hosts.size);
+		if (hasMajority) {
+			authority.renew(this.#askedAt);
+		}
+
+		if (hasMajority !== this.#hasMajority && (hasMajority || timer.now() > authority.validUntil)) {
+			this.#hasMajority = hasMajority;
+			log.write(hasMajority ? 'authority-witnessed' : 'authority-lost', {reporters: this.#reporters.size, hosts: fleet.hosts.size});
+		}
+	}
+}
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -1,14 +1,16 @@
 import {type SharedStore, type StoreItem} from '@tarragonstack/core/adapters/shared-store';
 import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {type PeerTransport} from '../connection/datagram-transport.js';
 import {ClientSession} from '../connection/client-session.js';
 import {InstancePool} from '../connection/instance-pool.js';
 import {StatementRunner} from '../connection/statement-runner.js';
 import {type UpstreamDialer} from '../connection/upstream-channel.js';
 import {getConnectionShare} from '../request/connection-share.js';
 import {type DeploymentConfiguration} from '../version/deployment-configuration.js';
+import {AuthorityWitness} from './authority-witness.js';
 import {type EventLog} from './event-log.js';
 import {FleetView} from './fleet-view.js';
-import {parseGroupRecord} from './group-record.js';
+import {parseGroupRecord, type GroupRecord} from './group-record.js';
 import {HostRegistration} from './host-registration.js';
 import {type InstanceEntry} from './instance-entry.js';
 import {InstanceGroupState, missingInstanceMilliseconds} from './instance-group-state.js';
@@ -38,6 +40,8 @@
 	readonly formats: PlatformFormats;
 	readonly dialer: UpstreamDialer;
 	readonly promotions: PromotionService;
+	/** Carries the questions between hosts. */
+	readonly peers: PeerTransport;
 	readonly timer: TimerService;
 	readonly log: EventLog;
 	/** Returns the time of day in milliseconds. */
@@ -60,6 +64,7 @@
 	readonly #leaseKeeper: LeaseKeeper;
 	readonly #coordinator: PromotionCoordinator;
 	readonly #runner: StatementRunner;
+	readonly #witness: AuthorityWitness;
 	#configuration: DeploymentConfiguration | undefined;
 	#sweeper: Disposable | undefined;
 	#isLeaving = false;
@@ -87,6 +92,13 @@
 			...options, registration: this.#registration, fleet: this.#fleet, isStoreAvailable: () => this.#follower.isAvailable,
 			readFleet: async () => this.#follower.read(fleetPrefix),
 		});
+		this.#witness = new AuthorityWitness({
+			hostName, timer, log, transport: options.peers, fleet: this.#fleet, authority: this.#authority,
+			getRecords: () => this.#getRecords(),
+			handleRecord: (group, record, revision) => {
+				this.#updateGroupRecord(this.#groups.get(group), record, revision);
+			},
+		});
 		this.#runner = new StatementRunner({timer, log, availabilityZone});
 	}
 
@@ -272,8 +284,17 @@
 		group.notifyChanged();
 	}
 
+	* #getRecords() {
+		for (const {name, record} of this.#groups.values()) {
+			if (record) {
+				const {revision, learntAt: _, ...rest} = record;
+				yield {group: name, revision, record: rest};
+			}
+		}
+	}
+
 	#handleGroupRecord({key, value, revision}: StoreItem): void {
-		const {timer, log} = this.#options;
+		const {log} = this.#options;
 		const record = parseGroupRecord(value);
 		if (record.isErr()) {
 			log.write('record-invalid', {key, revision, reason: record.error});
@@ -287,9 +308,14 @@
 		}
 
 		this.#pendingRecords.delete(key);
+		this.#updateGroupRecord(group, record.value, revision);
+	}
+
+	#updateGroupRecord(group: InstanceGroupState | undefined, record: GroupRecord, revision: number): void {
+		const {timer, log} = this.#options;
 
-		if (group.updateRecord({...record.value, revision, learntAt: timer.now()})) {
-			log.write('group-record', {group: group.name, phase: record.value.phase, primary: record.value.primary, term: record.value.term, revision});
+		if (group?.updateRecord({...record, revision, learntAt: timer.now()})) {
+			log.write('group-record', {group: group.name, phase: record.phase, primary: record.primary, term: record.term, revision});
 			this.#coordinator.evaluate(group);
 		}
 	}
@@ -307,6 +333,7 @@
 	}
 
 	#sweep(now: number): void {
+		this.#witness.sweep(now);
 		for (const group of this.#groups.values()) {
 			for (const [id, known] of group.instances) {
 				known.pool.sweep(now);
--- a/packages/direct/src/process/index.ts
+++ b/packages/direct/src/process/index.ts
@@ -1,3 +1,4 @@
+export * from './authority-witness.js';
 export * from './direct-host.js';
 export type * from './event-log.js';
 export * from './fleet-view.js';
--- a/packages/direct/src/process/lease-keeper.ts
+++ b/packages/direct/src/process/lease-keeper.ts
@@ -63,7 +63,7 @@
 	}
 
 	async #run(): Promise<void> {
-		const {timer, log} = this.#options;
+		const {timer, log, authority} = this.#options;
 		while (!this.#abort.signal.aborted) {
 			const lease = await this.#acquire();
 			if (lease === undefined) {
@@ -73,6 +73,7 @@
 
 			log.write('lease-gained', {lease});
 			await this.#renew(lease);
+			authority.noteLeaseEnded();
 			log.write('lease-lost', {lease});
 		}
 	}
@@ -105,7 +106,7 @@
 			}
 
 			if (outcome.isOk()) {
-				authority.renew(requestedAt);
+				authority.noteLeaseRenewed(requestedAt);
 			}
 
 			await timer.sleep(outcome.isOk() ? renewalIntervalMilliseconds : failurePauseMilliseconds, this.#wake.signal);
--- a/packages/direct/src/process/primary-authority.ts
+++ b/packages/direct/src/process/primary-authority.ts
@@ -21,6 +21,7 @@
 	readonly #suspension: SuspensionDetector;
 	readonly #requestRenewal: () => void;
 	#validUntil = 0;
+	#leaseRenewedAt = Number.NEGATIVE_INFINITY;
 
 	/**
 	 * @param timer - Monotonic clock.
@@ -38,11 +39,32 @@
 		return this.#validUntil;
 	}
 
+	/** Monotonic time before the last successful renewal of the lease; without a lease it lies infinitely far back. */
+	get leaseRenewedAt(): number {
+		return this.#leaseRenewedAt;
+	}
+
 	/**
-	 * Renews the permission.
+	 * Notes a renewal of the lease, which renews the permission.
 	 *
 	 * @param requestedAt - Monotonic time before the lease was renewed.
 	 */
+	noteLeaseRenewed(requestedAt: number): void {
+		this.#leaseRenewedAt = requestedAt;
+		this.renew(requestedAt);
+	}
+
+	/** Notes that the lease has ended. The permission ends as well. */
+	noteLeaseEnded(): void {
+		this.#leaseRenewedAt = Number.NEGATIVE_INFINITY;
+		this.#validUntil = 0;
+	}
+
+	/**
+	 * Renews the permission.
+	 *
+	 * @param requestedAt - Monotonic time before the lease was renewed, or other hosts were asked.
+	 */
 	renew(requestedAt: number): void {
 		if (!this.#checkSuspension()) {
 			this.#validUntil = Math.max(this.#validUntil, requestedAt + authorityMilliseconds);
--- a/packages/direct/src/process/promotion-coordinator.ts
+++ b/packages/direct/src/process/promotion-coordinator.ts
@@ -2,14 +2,16 @@
 import {compareLogPositions} from '@tarragonstack/core/request/log-position';
 import {type SharedStore, type StoreTransaction} from '@tarragonstack/core/adapters/shared-store';
 import {type TimerService} from '@tarragonstack/core/time/timer-service';
-import {isLossAgreed, isSuspicious} from '../request/suspicion.js';
+import {isMajority} from '../request/majority.js';
+import {isSuspicious} from '../request/suspicion.js';
 import {type InstanceStatus, type UpstreamChannel, type UpstreamDialer} from '../connection/upstream-channel.js';
 import {type EventLog} from './event-log.js';
 import {GroupPhase, type GroupRecord, type VersionedGroupRecord} from './group-record.js';
 import {type FleetView} from './fleet-view.js';
 import {type HostRegistration} from './host-registration.js';
 import {InstanceRole} from './instance-entry.js';
-import {missingInstanceMilliseconds, type InstanceGroupState, type KnownInstance} from './instance-group-state.js';
+import {type InstanceGroupState, type KnownInstance} from './instance-group-state.js';
+import {witnessedMilliseconds} from './authority-witness.js';
 import {authorityMarginMilliseconds, authorityMilliseconds} from './primary-authority.js';
 import {PromotionAnswer, type PromotionService} from './promotion-service.js';
 import {groupPrefix, promoterKey} from './store-keys.js';
@@ -44,6 +46,12 @@
 /** Time for which a connection in use may end its statement before a host confirms an announced change, in milliseconds. */
 const confirmationGraceMilliseconds = 100;
 
+/**
+ * Time for which a primary that answers stays in use although it is missing from the list, in milliseconds. A
+ * replacement interrupts writes, and the entry of a live primary returns; but 7 s after its loss it must get no work.
+ */
+const unlistedPrimaryMilliseconds = 4500;
+
 /** Time for which a primary must have been the only claimant before the first record names it, in milliseconds. */
 const firstRecordDelayMilliseconds = 200;
 
@@ -177,12 +185,13 @@
 	#isLeaving(group: InstanceGroupState, record: GroupRecord): boolean {
 		const known = group.instances.get(record.primary);
 		return known !== undefined
-			&& (known.pool.instance.leaving || this.#options.timer.now() - (known.missingSince ?? Number.POSITIVE_INFINITY) > missingInstanceMilliseconds);
+			&& (known.pool.instance.leaving || this.#options.timer.now() - (known.missingSince ?? Number.POSITIVE_INFINITY) > unlistedPrimaryMilliseconds);
 	}
 
 	#isLost(group: InstanceGroupState): boolean {
+		// A primary that a minority can't reach serves the others.
 		const hosts = [...this.#options.fleet.hosts.values()];
-		return isLossAgreed(hosts.filter(host => host.record.suspected.includes(group.name)).length, hosts.length);
+		return isMajority(hosts.filter(host => host.record.suspected.includes(group.name)).length, hosts.length);
 	}
 
 	#considerChange(group: InstanceGroupState, record: VersionedGroupRecord): void {
@@ -386,7 +395,8 @@
 		// Hosts that register after this read find the announcement in the records that they read afterwards.
 		await this.#readHosts();
 		const awaited = [...fleet.hosts.keys()];
-		const expiries = new Map<string, number>();
+		const leasesEndedAt = new Map<string, number>();
+		let majorityAt: number | undefined;
 		let hasAnswered = false;
 		let isWaiting = true;
 		const watchPrimary = async () => {
@@ -401,14 +411,16 @@
 		}
 
 		for (;;) {
-			const missing = awaited.filter(name => {
-				const host = fleet.hosts.get(name);
-				return host !== undefined && host.record.confirmed[group.name] !== announced.changeIdentifier && !(timer.now() >= (expiries.get(name) ?? Number.POSITIVE_INFINITY));
-			});
+			const unconfirmed = awaited.filter(name => fleet.hosts.get(name)?.record.confirmed[group.name] !== announced.changeIdentifier && fleet.hosts.has(name));
+			if (majorityAt === undefined && isMajority(awaited.length - unconfirmed.length, awaited.length)) {
+				majorityAt = timer.now();
+			}
+
+			const missing = unconfirmed.filter(name => timer.now() < this.#getExpiry(leasesEndedAt.get(name), majorityAt));
 			if (missing.length === 0) {
 				isWaiting = false;
-				if (expiries.size > 0) {
-					log.write('permissions-expired', {group: group.name, hosts: [...expiries.keys()].join(','), waitedMilliseconds: Math.round(timer.now() - startedAt)});
+				if (leasesEndedAt.size > 0) {
+					log.write('permissions-expired', {group: group.name, hosts: [...leasesEndedAt.keys()].join(','), waitedMilliseconds: Math.round(timer.now() - startedAt)});
 				}
 
 				return true;
@@ -419,26 +431,39 @@
 			}
 
 			if (timer.now() - startedAt >= promptConfirmationMilliseconds) {
-				await Promise.all(missing.filter(name => !expiries.has(name)).map(async name => this.#endLease(name, expiries)));
+				await Promise.all(missing.filter(name => !leasesEndedAt.has(name)).map(async name => this.#endLease(name, leasesEndedAt)));
 			}
 
 			await timer.sleep(stepMilliseconds);
 		}
 	}
 
+	/** Returns the monotonic time at which the permission of a host has run out whose lease was ended. */
+	#getExpiry(leaseEndedAt: number | undefined, majorityAt: number | undefined): number {
+		if (leaseEndedAt === undefined) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		// Without a majority that obeys the change, others may have extended the host's permission in the meantime.
+		return authorityMarginMilliseconds + Math.min(
+			leaseEndedAt + witnessedMilliseconds + authorityMilliseconds,
+			Math.max(leaseEndedAt, majorityAt ?? Number.POSITIVE_INFINITY) + authorityMilliseconds,
+		);
+	}
+
 	async #readHosts(): Promise<void> {
 		while (!(await this.#options.readFleet())) {
 			await this.#options.timer.sleep(stepMilliseconds * 4);
 		}
 	}
 
-	/** Ends the lease of a host that has not confirmed, and notes when its permission to use primaries runs out. */
-	async #endLease(name: string, expiries: Map<string, number>): Promise<void> {
+	/** Ends the lease of a host that has not confirmed, and notes when. */
+	async #endLease(name: string, endedAt: Map<string, number>): Promise<void> {
 		const {store, timer, fleet} = this.#options;
 		const lease = fleet.hosts.get(name)?.record.lease ?? 0;
 		const outcome = lease === 0 ? undefined : await store.endLease(lease, callTimeoutMilliseconds);
 		if (!outcome?.isErr()) {
-			expiries.set(name, timer.now() + authorityMilliseconds + authorityMarginMilliseconds);
+			endedAt.set(name, timer.now());
 		}
 	}
 
--- a/packages/direct/src/request/index.ts
+++ b/packages/direct/src/request/index.ts
@@ -2,6 +2,7 @@
 export * from './consistency.js';
 export * from './error-handling.js';
 export * from './freshness-ledger.js';
+export * from './majority.js';
 export * from './read-placement.js';
 export * from './statement.js';
 export * from './statement-error-code.js';
--- a/packages/direct/src/request/suspicion.ts
+++ b/packages/direct/src/request/suspicion.ts
@@ -27,13 +27,3 @@
 		|| observation.silenceMilliseconds >= suspiciousSilenceMilliseconds
 		|| observation.unreachableMilliseconds >= suspiciousUnreachableMilliseconds;
 }
-
-/**
- * Returns whether enough hosts suspect a primary to replace it. A primary that a minority can't reach serves the others.
- *
- * @param suspecting - Hosts that suspect it.
- * @param registered - Hosts of the fleet.
- */
-export function isLossAgreed(suspecting: number, registered: number): boolean {
-	return suspecting * 2 > registered;
-}
