Test the fleet's decisions on fakes with manual time

A read whose response was lost twice used up its time limit. Change: a fake store, group of instances and datagram network under the manual timer service; cases for losses of the primary, store outages, partitions, a restart in the middle of a change, leaving primaries, lost responses, sessions over pooled connections and configurations. A read moves to another instance after eight service times, between 250 and 500 ms, instead of after 500 ms.

--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -22,8 +22,12 @@
 /** Part of the permitted staleness that is not used, in milliseconds; it covers differences in when the parties look. */
 const stalenessMarginMilliseconds = 100;
 
-/** Time after which a read without a response is sent to another instance, in milliseconds: several times a long service time. */
-const readSilenceMilliseconds = 500;
+/** Multiple of an instance's service time after which a read without a response is sent to another instance. */
+const readSilenceServiceTimes = 8;
+
+/** Bounds of the time after which a read without a response is sent to another instance, in milliseconds. */
+const minimumReadSilenceMilliseconds = 250;
+const maximumReadSilenceMilliseconds = 500;
 
 /** Longest pause before an instance or the list of instances is looked at again, in milliseconds. */
 const retryPauseMilliseconds = 20;
@@ -210,7 +214,7 @@
 			connection,
 			preamble,
 			{statement, ...(definition && {preparedName: getPreparedName(definition)}), ...(!begin && position)},
-			{timer: this.#timer, deadline: mayRepeat ? Math.min(deadline, startedAt + readSilenceMilliseconds) : deadline},
+			{timer: this.#timer, deadline: mayRepeat ? Math.min(deadline, startedAt + getReadSilence(pool)) : deadline},
 		);
 		if (outcome.progress === Progress.Answered) {
 			const {result, sentAt} = outcome;
@@ -285,6 +289,10 @@
 	}
 }
 
+function getReadSilence(pool: InstancePool): number {
+	return Math.min(maximumReadSilenceMilliseconds, Math.max(minimumReadSilenceMilliseconds, pool.serviceTime * readSilenceServiceTimes));
+}
+
 /**
  * Creates the result of a statement that failed on this host.
  *
--- /dev/null
+++ b/packages/direct/tests/fleet/consistency.test.ts
@@ -0,0 +1,180 @@
+import {TransactionStatus} from '@tarragonstack/core/request/transaction-status';
+import {describe, expect, it} from 'vitest';
+import {Consistency, InstanceRole, StatementErrorCode, StatementKind} from '../../src/index.js';
+import {FakeFleet} from './fake-fleet.js';
+
+describe('reads', () => {
+	// Guards against reads of a replica that lacks commits which the route or the session has to see.
+	it.each([
+		{database: Consistency.Primary, mayUseReplica: false},
+		{database: Consistency.BoundedStaleness, mayUseReplica: true},
+		{database: Consistency.ReadYourWrites, mayUseReplica: true},
+	])('of $database see their own writes when replicas receive nothing', async ({database, mayUseReplica}) => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const session = fleet.open(0, database);
+		await fleet.run(session, StatementKind.Write);
+		const calm = await fleet.run(session, StatementKind.Read, {identifier: 'calm'});
+		expect(calm.error).toBeUndefined();
+		expect(fleet.group.runs.find(({identifier}) => identifier === 'calm')!.instance === 'orders-0').toBe(!mayUseReplica);
+		for (const instance of fleet.group.instances) {
+			instance.receives = false;
+		}
+
+		const written = await fleet.run(session, StatementKind.Write);
+		expect(written.error).toBeUndefined();
+		if (database !== Consistency.BoundedStaleness) {
+			const read = await fleet.run(session, StatementKind.Read);
+			expect(read.rows).toEqual([String(written.position!.index)]);
+		}
+
+		await fleet.timer.advance(2000);
+		const late = await fleet.run(fleet.open(1, database), StatementKind.Read);
+		expect(Number(late.rows[0])).toBeGreaterThanOrEqual(written.position!.index);
+	});
+
+	// Guards against a host without traffic that trusts a replica because it knows of no newer commit.
+	it('of a host that has seen no position go to the primary', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const result = await fleet.run(fleet.open(2, Consistency.BoundedStaleness), StatementKind.Read, {identifier: 'first'});
+		expect(result.error).toBeUndefined();
+		expect(fleet.group.runs.find(({identifier}) => identifier === 'first')!.instance).toBe('orders-0');
+	});
+
+	// Guards against positions of a replaced primary that make replicas look fresh.
+	it('demand positions of the new primary after a replacement', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const session = fleet.open(0, Consistency.ReadYourWrites);
+		await fleet.run(session, StatementKind.Write);
+		fleet.group.get('orders-0').isDown = true;
+		const writers = fleet.startWriters();
+		await fleet.timer.advance(4000);
+		writers.stop();
+		await fleet.timer.advance(100);
+		const newest = fleet.group.commits.at(-1)!;
+		await fleet.timer.advance(2500);
+		const read = await fleet.run(session, StatementKind.Read);
+		expect(Number(read.rows[0])).toBeGreaterThanOrEqual(newest.position.index);
+	});
+
+	// Guards against a response that is lost together with the read, although another instance could serve it.
+	it('are sent to another instance when a response is lost', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const session = fleet.open(0, Consistency.ReadYourWrites);
+		await fleet.run(session, StatementKind.Write);
+		for (const instance of fleet.group.instances.filter(({role}) => role === InstanceRole.Replica)) {
+			instance.responsesToLose = 1;
+		}
+
+		expect((await fleet.run(session, StatementKind.Read)).error).toBeUndefined();
+	});
+});
+
+describe('sessions over pooled connections', () => {
+	// Guards against statements that run with the session values or prepared statements of another client.
+	it('carry their values and prepared statements', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const first = fleet.open(0, Consistency.Primary);
+		const second = fleet.open(0, Consistency.Primary);
+		await fleet.run(first, StatementKind.SetValue, {name: 'language', value: 'es'});
+		await fleet.run(first, StatementKind.Prepare, {name: 's1', definition: {writes: true, shape: 'q1'}});
+		await fleet.run(second, StatementKind.Prepare, {name: 's1', definition: {writes: false, shape: 'q2'}});
+		for (let round = 0; round < 3; round++) {
+			await fleet.run(first, StatementKind.Execute, {identifier: `first-${round}`, name: 's1', argumentsText: ' k v'});
+			await fleet.run(second, StatementKind.Execute, {identifier: `second-${round}`, name: 's1', argumentsText: ' k'});
+		}
+
+		const runs = fleet.group.runs.filter(({identifier}) => identifier.startsWith('first') || identifier.startsWith('second'));
+		expect(runs).toHaveLength(6);
+		for (const {identifier, values} of runs) {
+			expect(values).toBe(identifier.startsWith('first') ? '[["language","es"]]' : '[]');
+		}
+	});
+
+	// Guards against a statement that runs outside its transaction, or a commit that the client did not ask for.
+	it('run a transaction on one connection and end it as the client says', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const session = fleet.open(0, Consistency.Primary);
+		expect((await fleet.run(session, StatementKind.Begin)).status).toBe(TransactionStatus.InTransaction);
+		expect((await fleet.run(session, StatementKind.Write, {identifier: 'inside'})).status).toBe(TransactionStatus.InTransaction);
+		expect(fleet.group.commits).toEqual([]);
+		expect((await fleet.run(session, StatementKind.Rollback)).status).toBe(TransactionStatus.Idle);
+		await fleet.timer.advance(50);
+		expect(fleet.group.commits).toEqual([]);
+		await fleet.run(session, StatementKind.Begin);
+		await fleet.run(session, StatementKind.Write);
+		const committed = await fleet.run(session, StatementKind.Commit);
+		expect(committed.completion).toMatch(/^proof-/v);
+		expect(fleet.group.commits).toHaveLength(1);
+		expect(fleet.group.runs.find(({identifier}) => identifier === 'inside')!.isInTransaction).toBe(true);
+	});
+
+	// Guards against a failed transaction that goes on, and against a commit that pretends to have succeeded.
+	it('refuse statements after a failure until the transaction ends', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const session = fleet.open(0, Consistency.Primary);
+		await fleet.run(session, StatementKind.Begin);
+		fleet.group.get('orders-0').nextErrors.push(StatementErrorCode.Failed);
+		expect((await fleet.run(session, StatementKind.Read)).status).toBe(TransactionStatus.Failed);
+		expect((await fleet.run(session, StatementKind.Read)).error?.code).toBe(StatementErrorCode.Malformed);
+		const commit = await fleet.run(session, StatementKind.Commit);
+		expect(commit.error?.code).toBe(StatementErrorCode.Aborted);
+		expect(commit.status).toBe(TransactionStatus.Idle);
+	});
+
+	// Guards against a connection that a silent client holds for ever, and against work of a transaction that ended.
+	it('roll back a transaction that rests for too long', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const session = fleet.open(0, Consistency.Primary);
+		await fleet.run(session, StatementKind.Begin);
+		await fleet.run(session, StatementKind.Write);
+		await fleet.timer.advance(3200);
+		expect((await fleet.run(session, StatementKind.Commit)).error?.code).toBe(StatementErrorCode.Aborted);
+		expect(fleet.group.commits).toEqual([]);
+	});
+});
+
+describe('connections to an instance', () => {
+	// Guards against hosts that together exceed what an instance accepts.
+	it('stay within the limit of the instance while all hosts are busy', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		let most = 0;
+		for (let round = 0; round < 50; round++) {
+			for (let host = 0; host < 6; host++) {
+				void fleet.open(host, Consistency.Primary).execute(fleet.createStatement(StatementKind.Write));
+				void fleet.open(host, Consistency.Primary).execute(fleet.createStatement(StatementKind.Read));
+			}
+
+			await fleet.timer.advance(1);
+			most = Math.max(most, ...fleet.group.instances.map(({connections}) => connections));
+		}
+
+		expect(most).toBeLessThanOrEqual(21);
+	});
+});
+
+describe('configuration', () => {
+	// Guards against a host that returns to an older configuration, and against one that misses a change.
+	it('follows the newest version also after the store forgot its history', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		fleet.putConfiguration(5, ['added']);
+		await fleet.timer.advance(100);
+		expect(fleet.hosts.every(({host}) => host.openSession('added'))).toBe(true);
+		fleet.putConfiguration(4);
+		fleet.state.forgottenRevision = fleet.state.revision;
+		await fleet.timer.advance(4000);
+		expect(fleet.hosts.every(({host}) => host.openSession('added'))).toBe(true);
+		fleet.putConfiguration(9, ['later']);
+		await fleet.timer.advance(3000);
+		expect(fleet.hosts.every(({host}) => host.openSession('later') && !host.openSession('added'))).toBe(true);
+	});
+});
--- /dev/null
+++ b/packages/direct/tests/fleet/fake-fleet.ts
@@ -0,0 +1,213 @@
+import {ManualTimerService} from '@tarragonstack/core/time/manual-timer-service';
+import {err, ok} from 'neverthrow';
+import {
+	ChannelFailure, type ClientSession, Consistency, DirectHost, InstanceRole, PromotionAnswer, StatementKind,
+	type DeploymentConfiguration, type InstanceEntry, type PeerTransport, type PromotionOrder, type Statement, type StatementResult,
+} from '../../src/index.js';
+import {FakeChannel, FakeGroup} from './fake-group.js';
+import {FakeStore, FakeStoreState} from './fake-store.js';
+
+const zones = ['zone-a', 'zone-b', 'zone-c'];
+
+/** One host of a `FakeFleet`. */
+export type FakeHost = {
+	readonly name: string;
+	readonly host: DirectHost;
+	readonly store: FakeStore;
+	/** Hosts to which its datagrams do not arrive. */
+	readonly cutFrom: Set<string>;
+	readonly log: Array<{readonly at: number; readonly event: string; readonly fields: Readonly<Record<string, unknown>>}>;
+	/** Difference between the time of day and the monotonic time. */
+	readonly wallClock: {offset: number};
+};
+
+/** Hosts, one group of instances and a store in one process, with time that moves only when a test says so. */
+export class FakeFleet {
+	readonly timer = new ManualTimerService();
+	readonly state = new FakeStoreState();
+	readonly group: FakeGroup;
+	readonly hosts: FakeHost[] = [];
+	readonly promotions: PromotionOrder[] = [];
+	readonly #transports = new Map<string, PeerTransport>();
+	#nextIdentifier = 0;
+	#incarnations = 0;
+
+	constructor(hostCount = 6) {
+		this.group = new FakeGroup(this.timer, 'orders', zones);
+		this.putConfiguration(1);
+		for (const {entry} of this.group.instances) {
+			this.putInstance(entry);
+		}
+
+		for (let index = 0; index < hostCount; index++) {
+			this.addHost(`host-${index}`, zones[index % zones.length]!);
+		}
+	}
+
+	/** Writes a configuration with a route of each consistency, and further ones. */
+	putConfiguration(version: number, furtherDatabases: readonly string[] = []): void {
+		this.state.put('configuration', JSON.stringify({version, furtherDatabases}));
+	}
+
+	/** Writes the entry of an instance. */
+	putInstance(entry: InstanceEntry): void {
+		this.state.put(`instances/${entry.id}`, JSON.stringify(entry));
+	}
+
+	/** Starts a host. */
+	addHost(name: string, availabilityZone: string): FakeHost {
+		const store = new FakeStore(this.state, this.timer);
+		const cutFrom = new Set<string>();
+		const log: FakeHost['log'] = [];
+		const wallClock = {offset: 0};
+		const transport: PeerTransport = {
+			onMessage: undefined,
+			send: (address, message) => {
+				const receiver = address.split(':')[0]!;
+				if (!cutFrom.has(receiver)) {
+					this.timer.schedule(1, () => {
+						const sender = this.hosts.find(host => host.name === receiver);
+						if (!sender?.cutFrom.has(name)) {
+							this.#transports.get(receiver)?.onMessage?.(structuredClone(message), `${name}:1`);
+						}
+					});
+				}
+			},
+		};
+		this.#transports.set(name, transport);
+		this.#incarnations++;
+		const fakeHost: FakeHost = {
+			name, store, cutFrom, log, wallClock,
+			host: new DirectHost({
+				hostName: name, availabilityZone, incarnation: `incarnation-${this.#incarnations}`, peerAddress: `${name}:1`, store, timer: this.timer, peers: transport,
+				log: {
+					write: (event, fields) => {
+						log.push({at: this.timer.now(), event, fields});
+					},
+				},
+				readWallClock: () => this.timer.now() + wallClock.offset,
+				formats: {
+					configurationKey: 'configuration',
+					instancePrefix: 'instances/',
+					decodeConfiguration: text => ok(createConfiguration(JSON.parse(text) as {version: number; furtherDatabases: string[]})),
+					decodeInstance: (_id, text) => ok(JSON.parse(text) as InstanceEntry),
+				},
+				dialer: {
+					dial: async (instance, timeoutMilliseconds) => {
+						const target = this.group.get(instance.id);
+						if (target.cutFrom.has(name)) {
+							await this.timer.sleep(timeoutMilliseconds);
+							return err({failure: ChannelFailure.Silent, message: 'no response in time'});
+						}
+
+						await this.timer.sleep(2);
+						return target.isDown
+							? err({failure: ChannelFailure.Broken, message: 'refused'})
+							: ok(new FakeChannel(target, this.group, name, this.timer));
+					},
+				},
+				promotions: {
+					promote: async order => {
+						await this.timer.sleep(2);
+						this.promotions.push(order);
+						if (this.group.get(order.instance).isDown) {
+							return ok(PromotionAnswer.InstanceNotRunning);
+						}
+
+						this.group.promote(order.instance);
+						return ok(PromotionAnswer.Accepted);
+					},
+				},
+			}),
+		};
+		const previous = this.hosts.findIndex(host => host.name === name);
+		if (previous === -1) {
+			this.hosts.push(fakeHost);
+		} else {
+			this.hosts[previous] = fakeHost;
+		}
+
+		fakeHost.host.start();
+		return fakeHost;
+	}
+
+	/** Starts all and waits until every host is ready. */
+	async settle(): Promise<void> {
+		await this.timer.advance(2000);
+	}
+
+	/** Returns the events of a name of all hosts. */
+	getEvents(event: string) {
+		return this.hosts.flatMap(({name, log}) => log.filter(entry => entry.event === event).map(entry => ({host: name, ...entry})));
+	}
+
+	/** Creates a statement with an identifier of its own. */
+	createStatement(kind: StatementKind, fields: Partial<Statement> = {}): Statement {
+		this.#nextIdentifier++;
+		return {identifier: `id${this.#nextIdentifier}`, kind, text: kind, ...fields};
+	}
+
+	/** Runs one statement of a session and moves the time until it has ended. */
+	async run(session: ClientSession, kind: StatementKind, fields: Partial<Statement> = {}): Promise<StatementResult> {
+		let result: StatementResult | undefined;
+		void (async () => {
+			result = await session.execute(this.createStatement(kind, fields));
+		})();
+		for (let step = 0; result === undefined && step < 5000; step++) {
+			await this.timer.advance(1);
+		}
+
+		return result!;
+	}
+
+	/** Opens a session at a host. */
+	open(hostIndex: number, database: Consistency): ClientSession {
+		return this.hosts[hostIndex]!.host.openSession(database)!;
+	}
+
+	/** Keeps every host writing, one statement after the other, until the returned function is called. */
+	startWriters(): {readonly results: Array<{readonly host: string; readonly identifier: string; readonly at: number; readonly result: StatementResult}>; stop(): void} {
+		const results: Array<{host: string; identifier: string; at: number; result: StatementResult}> = [];
+		let isStopped = false;
+		for (const [index, {name}] of this.hosts.entries()) {
+			const session = this.open(index, Consistency.Primary);
+			void (async () => {
+				while (!isStopped) {
+					const statement = this.createStatement(StatementKind.Write);
+					const result = await session.execute(statement);
+					results.push({host: name, identifier: statement.identifier, at: this.timer.now(), result});
+					await this.timer.sleep(20);
+				}
+			})();
+		}
+
+		return {
+			results,
+			stop() {
+				isStopped = true;
+			},
+		};
+	}
+
+	/** Returns the instance that leads according to the instances themselves, newest term first. */
+	getLeader(): string {
+		return this.group.instances.filter(({role}) => role === InstanceRole.Primary).toSorted((left, right) => right.term - left.term)[0]!.entry.id;
+	}
+}
+
+function createConfiguration({version, furtherDatabases}: {version: number; furtherDatabases: readonly string[]}): DeploymentConfiguration {
+	const staleness = {[Consistency.Primary]: 0, [Consistency.BoundedStaleness]: 1500, [Consistency.ReadYourWrites]: 2500};
+	const databases: Array<[string, Consistency]> = [
+		...Object.values(Consistency).map((consistency): [string, Consistency] => [consistency, consistency]),
+		...furtherDatabases.map((name): [string, Consistency] => [name, Consistency.Primary]),
+	];
+	return {
+		version,
+		routes: new Map(databases.map(([database, consistency], index) => [database, {
+			database, group: 'orders', consistency, statementTimeoutMilliseconds: 1000, targetMilliseconds: 200, priority: index,
+			maximumStalenessMilliseconds: staleness[consistency],
+		}])),
+		groups: new Map([['orders', {name: 'orders', connectionLimit: 21}]]),
+		idleTransactionMilliseconds: 3000,
+	};
+}
--- /dev/null
+++ b/packages/direct/tests/fleet/fake-group.ts
@@ -0,0 +1,271 @@
+import {type LogPosition} from '@tarragonstack/core/request/log-position';
+import {TransactionStatus} from '@tarragonstack/core/request/transaction-status';
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {err, ok, type Result} from 'neverthrow';
+import {
+	ChannelFailure, InstanceRole, SessionCommand, StatementErrorCode, StatementKind,
+	type ChannelError, type InstanceEntry, type InstanceStatus, type StatementResult, type UpstreamChannel, type UpstreamStatement,
+} from '../../src/index.js';
+
+/** Time that a promotion takes, in milliseconds. */
+const promotionMilliseconds = 1000;
+
+/** Commit that an instance acknowledged. */
+export type FakeCommit = {
+	readonly position: LogPosition;
+	readonly instance: string;
+	readonly at: number;
+	readonly identifier: string;
+};
+
+/** Instance of a test: a log, a role and a term. */
+export class FakeInstance {
+	readonly entry: InstanceEntry;
+	role: InstanceRole;
+	term = 1;
+	log: LogPosition[] = [];
+	isDown = false;
+	/** Hosts that can't reach the instance. */
+	readonly cutFrom = new Set<string>();
+	/** Whether the primary's commits arrive. */
+	receives = true;
+	/** Statements whose responses are lost after they have run. */
+	responsesToLose = 0;
+	/** Errors that the next statements get instead of running. */
+	readonly nextErrors: StatementErrorCode[] = [];
+	connections = 0;
+
+	constructor(entry: InstanceEntry) {
+		this.entry = entry;
+		this.role = entry.role;
+	}
+
+	get position(): LogPosition {
+		return this.log.at(-1) ?? {term: 0, index: 0};
+	}
+}
+
+/** Group of instances with a shared history. */
+export class FakeGroup {
+	readonly instances: FakeInstance[];
+	readonly commits: FakeCommit[] = [];
+	/** Statements that ran, by identifier. */
+	readonly runs: Array<{readonly identifier: string; readonly instance: string; readonly values: string; readonly isInTransaction: boolean; readonly text: string}> = [];
+	promotedAt: number[] = [];
+	readonly #timer: TimerService;
+
+	constructor(timer: TimerService, group: string, zones: readonly string[]) {
+		this.#timer = timer;
+		this.instances = zones.map((availabilityZone, index) => new FakeInstance({
+			id: `${group}-${index}`, group, address: `10.0.0.${index}:1`, availabilityZone, slots: 3, leaving: false, startedAt: 1,
+			role: index === 0 ? InstanceRole.Primary : InstanceRole.Replica,
+		}));
+	}
+
+	/** Returns an instance by its identifier. */
+	get(id: string): FakeInstance {
+		return this.instances.find(({entry}) => entry.id === id)!;
+	}
+
+	/** Orders a promotion, which takes effect after a while. */
+	promote(id: string): void {
+		const instance = this.get(id);
+		this.#timer.schedule(promotionMilliseconds, () => {
+			instance.term = Math.max(...this.instances.map(({term}) => term)) + 1;
+			instance.role = InstanceRole.Primary;
+			this.promotedAt.push(this.#timer.now());
+			for (const other of this.instances) {
+				if (other !== instance && other.role === InstanceRole.Replica) {
+					other.log = [...instance.log];
+					other.term = instance.term;
+				}
+			}
+		});
+	}
+
+	/** Commits at a primary. */
+	commit(primary: FakeInstance, identifier: string): LogPosition {
+		const position = {term: primary.term, index: primary.position.index + 1};
+		primary.log.push(position);
+		this.commits.push({position, instance: primary.entry.id, at: this.#timer.now(), identifier});
+		for (const replica of this.instances) {
+			if (replica.role === InstanceRole.Replica && replica.receives && replica.term <= primary.term) {
+				replica.log = [...primary.log];
+				replica.term = primary.term;
+			}
+		}
+
+		return position;
+	}
+}
+
+/** Connection of a host to an instance of a test. */
+export class FakeChannel implements UpstreamChannel {
+	onClose: (() => void) | undefined;
+	closed = false;
+	lastReceivedAt: number;
+	readonly #instance: FakeInstance;
+	readonly #group: FakeGroup;
+	readonly #host: string;
+	readonly #timer: TimerService;
+	readonly #values = new Map<string, string>();
+	readonly #prepared = new Map<string, boolean>();
+	#status = TransactionStatus.Idle;
+	#writes: string[] = [];
+
+	constructor(instance: FakeInstance, group: FakeGroup, host: string, timer: TimerService) {
+		this.#instance = instance;
+		this.#group = group;
+		this.#host = host;
+		this.#timer = timer;
+		this.lastReceivedAt = timer.now();
+		instance.connections++;
+	}
+
+	async run(batch: readonly UpstreamStatement[], deadline: number): Promise<Result<StatementResult[], ChannelError>> {
+		await this.#timer.sleep(2);
+		if (this.#isUnreachable()) {
+			return this.#waitInVain(deadline);
+		}
+
+		const results = batch.map(entry => this.#runOne(entry));
+		if (this.#instance.responsesToLose > 0 && batch.some(entry => 'statement' in entry)) {
+			this.#instance.responsesToLose--;
+			return this.#waitInVain(deadline);
+		}
+
+		await this.#timer.sleep(2);
+		if (this.closed) {
+			return err({failure: ChannelFailure.Broken, message: 'closed'});
+		}
+
+		this.lastReceivedAt = this.#timer.now();
+		return ok(results);
+	}
+
+	async readStatus(deadline: number): Promise<Result<InstanceStatus, ChannelError>> {
+		await this.#timer.sleep(2);
+		return this.#isUnreachable() ? this.#waitInVain(deadline) : ok(this.#getStatus());
+	}
+
+	async demote(term: number, deadline: number): Promise<Result<InstanceStatus, ChannelError>> {
+		await this.#timer.sleep(2);
+		if (this.#isUnreachable()) {
+			return this.#waitInVain(deadline);
+		}
+
+		if (this.#instance.term < term) {
+			this.#instance.role = InstanceRole.Replica;
+		}
+
+		return ok(this.#getStatus());
+	}
+
+	[Symbol.dispose](): void {
+		if (!this.closed) {
+			this.closed = true;
+			this.#instance.connections--;
+		}
+	}
+
+	#isUnreachable(): boolean {
+		return this.#instance.isDown || this.#instance.cutFrom.has(this.#host);
+	}
+
+	async #waitInVain(deadline: number): Promise<Result<never, ChannelError>> {
+		await this.#timer.sleep(deadline - this.#timer.now());
+		this[Symbol.dispose]();
+		return err({failure: ChannelFailure.Silent, message: 'no response in time'});
+	}
+
+	#getStatus(): InstanceStatus {
+		const {role, term, position} = this.#instance;
+		return {isPrimary: role === InstanceRole.Primary, term, received: position};
+	}
+
+	#runOne(entry: UpstreamStatement): StatementResult {
+		if ('command' in entry) {
+			if (entry.command === SessionCommand.Reset) {
+				this.#values.clear();
+				this.#prepared.clear();
+			} else {
+				this.#status = TransactionStatus.Idle;
+				this.#writes = [];
+			}
+
+			return this.#succeed();
+		}
+
+		if ('setValue' in entry) {
+			this.#values.set(entry.setValue.name, entry.setValue.value);
+			return this.#succeed();
+		}
+
+		if ('prepare' in entry) {
+			this.#prepared.set(entry.prepare.name, entry.prepare.definition.writes);
+			return this.#succeed();
+		}
+
+		const {minimumPosition} = entry;
+		if (minimumPosition && !this.#instance.log.some(position => position.term === minimumPosition.term && position.index === minimumPosition.index) && minimumPosition.index > 0) {
+			return this.#fail(StatementErrorCode.Behind);
+		}
+
+		if ('begin' in entry) {
+			if (entry.begin === 'read-write' && this.#instance.role !== InstanceRole.Primary) {
+				return this.#fail(StatementErrorCode.ReadOnly);
+			}
+
+			this.#status = TransactionStatus.InTransaction;
+			return this.#succeed();
+		}
+
+		return this.#runStatement(entry.statement.kind, entry.statement.identifier, entry.statement.text, entry.preparedName);
+	}
+
+	#runStatement(kind: StatementKind, identifier: string, text: string, preparedName: string | undefined): StatementResult {
+		const error = this.#instance.nextErrors.shift();
+		if (error) {
+			return this.#fail(error);
+		}
+
+		if (preparedName !== undefined && !this.#prepared.has(preparedName)) {
+			return this.#fail(StatementErrorCode.UnknownPreparedStatement);
+		}
+
+		const writes = kind === StatementKind.Write || (preparedName !== undefined && this.#prepared.get(preparedName)!);
+		if (writes && this.#instance.role !== InstanceRole.Primary) {
+			return this.#fail(StatementErrorCode.ReadOnly);
+		}
+
+		this.#group.runs.push({
+			identifier, instance: this.#instance.entry.id, values: JSON.stringify([...this.#values]), isInTransaction: this.#status === TransactionStatus.InTransaction, text,
+		});
+		if (kind === StatementKind.Commit) {
+			const pending = this.#writes;
+			this.#writes = [];
+			this.#status = TransactionStatus.Idle;
+			if (pending.length > 0) {
+				this.#group.commit(this.#instance, identifier);
+			}
+		} else if (writes && this.#status === TransactionStatus.InTransaction) {
+			this.#writes.push(identifier);
+		} else if (writes) {
+			this.#group.commit(this.#instance, identifier);
+		}
+
+		return {...this.#succeed(), completion: `proof-${identifier}`, rows: kind === StatementKind.Read ? [String(this.#instance.position.index)] : []};
+	}
+
+	#succeed(): StatementResult {
+		return {rows: [], completion: '-', status: this.#status, position: this.#instance.position};
+	}
+
+	#fail(code: StatementErrorCode): StatementResult {
+		if (this.#status === TransactionStatus.InTransaction) {
+			this.#status = TransactionStatus.Failed;
+		}
+
+		return {rows: [], error: {code, message: 'fake'}, status: this.#status, position: this.#instance.position};
+	}
+}
--- /dev/null
+++ b/packages/direct/tests/fleet/fake-store.ts
@@ -0,0 +1,143 @@
+import {
+	StoreFailure, type SharedStore, type StoreChange, type StoreChanges, type StoreError, type StoreItem, type StoreSnapshot, type StoreTransaction, type StoreTransactionOutcome,
+} from '@tarragonstack/core/adapters/shared-store';
+import {Verdict} from '@tarragonstack/core/request/verdict';
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {err, ok, type Result} from 'neverthrow';
+
+/** Time that a call takes, in milliseconds. */
+const callMilliseconds = 4;
+
+/** Items and leases that all hosts of a test share. */
+export class FakeStoreState {
+	readonly items = new Map<string, StoreItem>();
+	readonly history: StoreChange[] = [];
+	readonly leases = new Set<number>();
+	readonly listeners = new Set<() => void>();
+	revision = 1;
+	nextLease = 100;
+	/** Changes up to this revision are no longer available to watches. */
+	forgottenRevision = 0;
+
+	/** Writes an item, as the operator or an instance does. */
+	put(key: string, value: string): number {
+		this.revision++;
+		const item: StoreItem = {key, value, revision: this.revision};
+		this.items.set(key, item);
+		this.#append({removed: false, ...item});
+		return this.revision;
+	}
+
+	/** Removes an item. */
+	remove(key: string): void {
+		if (this.items.delete(key)) {
+			this.revision++;
+			this.#append({removed: true, key, revision: this.revision});
+		}
+	}
+
+	#append(change: StoreChange): void {
+		this.history.push(change);
+		for (const listener of [...this.listeners]) {
+			listener();
+		}
+	}
+}
+
+/** Access of one host to the shared state. It can be cut, and the replies of writes can be lost. */
+export class FakeStore implements SharedStore {
+	isCut = false;
+	losesReplies = false;
+	/** Calls by name. */
+	readonly calls = new Map<string, number>();
+	readonly #state: FakeStoreState;
+	readonly #timer: TimerService;
+
+	constructor(state: FakeStoreState, timer: TimerService) {
+		this.#state = state;
+		this.#timer = timer;
+	}
+
+	async readRange(prefix: string, timeoutMilliseconds: number): Promise<Result<StoreSnapshot, StoreError>> {
+		return this.#call('readRange', timeoutMilliseconds, () => ok({
+			items: [...this.#state.items.values()].filter(({key}) => key.startsWith(prefix)), revision: this.#state.revision,
+		}));
+	}
+
+	async waitForChanges(prefix: string, afterRevision: number, waitMilliseconds: number): Promise<Result<StoreChanges, StoreError>> {
+		if (afterRevision < this.#state.forgottenRevision) {
+			return this.#call('watch', waitMilliseconds, () => err({failure: StoreFailure.HistoryGone, verdict: Verdict.NotRun, message: 'gone'}));
+		}
+
+		const find = () => this.#state.history.filter(change => change.revision > afterRevision && change.key.startsWith(prefix));
+		const abort = new AbortController();
+		const listener = () => {
+			if (!this.isCut) {
+				abort.abort();
+			}
+		};
+
+		this.#state.listeners.add(listener);
+		if (find().length === 0) {
+			await this.#timer.sleep(waitMilliseconds, abort.signal);
+		}
+
+		this.#state.listeners.delete(listener);
+		return this.#call('watch', waitMilliseconds, () => ok({changes: find(), revision: this.#state.revision}));
+	}
+
+	async commit(transaction: StoreTransaction, timeoutMilliseconds: number): Promise<Result<StoreTransactionOutcome, StoreError>> {
+		return this.#call('commit', timeoutMilliseconds, (): Result<StoreTransactionOutcome, StoreError> => {
+			const {expected, writes, removals} = transaction;
+			if (expected.some(({key, revision}) => (this.#state.items.get(key)?.revision ?? 0) !== revision)) {
+				return ok({committed: false, current: expected.map(({key}) => this.#state.items.get(key)).filter(item => item !== undefined)});
+			}
+
+			for (const {key, value} of writes) {
+				this.#state.put(key, value);
+			}
+
+			for (const key of removals) {
+				this.#state.remove(key);
+			}
+
+			return this.losesReplies ? err(createUnavailable(Verdict.MayHaveRun)) : ok({committed: true, revision: this.#state.revision});
+		});
+	}
+
+	async createLease(_timeToLiveMilliseconds: number, timeoutMilliseconds: number): Promise<Result<number, StoreError>> {
+		return this.#call('createLease', timeoutMilliseconds, () => {
+			this.#state.nextLease++;
+			this.#state.leases.add(this.#state.nextLease);
+			return ok(this.#state.nextLease);
+		});
+	}
+
+	async renewLease(lease: number, timeoutMilliseconds: number): Promise<Result<boolean, StoreError>> {
+		return this.#call('renewLease', timeoutMilliseconds, () => ok(this.#state.leases.has(lease)));
+	}
+
+	async endLease(lease: number, timeoutMilliseconds: number): Promise<Result<void, StoreError>> {
+		return this.#call('endLease', timeoutMilliseconds, () => {
+			this.#state.leases.delete(lease);
+			return ok();
+		});
+	}
+
+	async #call<Value>(name: string, timeoutMilliseconds: number, action: () => Result<Value, StoreError>): Promise<Result<Value, StoreError>> {
+		this.calls.set(name, (this.calls.get(name) ?? 0) + 1);
+		if (this.isCut) {
+			await this.#timer.sleep(timeoutMilliseconds);
+			return err(createUnavailable(Verdict.MayHaveRun));
+		}
+
+		await this.#timer.sleep(callMilliseconds / 2);
+		const outcome = action();
+		await this.#timer.sleep(callMilliseconds / 2);
+		return outcome;
+	}
+}
+
+function createUnavailable(verdict: Verdict): StoreError {
+	return {failure: StoreFailure.Unavailable, verdict, message: 'the store does not answer'};
+}
--- /dev/null
+++ b/packages/direct/tests/fleet/promotion.test.ts
@@ -0,0 +1,231 @@
+import {describe, expect, it} from 'vitest';
+import {Consistency, InstanceRole, StatementErrorCode, StatementKind} from '../../src/index.js';
+import {FakeFleet, type FakeHost} from './fake-fleet.js';
+
+/** Longest time from the loss of a primary to the first write at the new one, in milliseconds. */
+const writeGapTargetMilliseconds = 2500;
+
+/** Losses of the primary `orders-0`, with the hosts that can still reach it. */
+const losses: ReadonlyArray<{readonly name: string; readonly strike: (fleet: FakeFleet) => void; readonly isPromoted: boolean; readonly limit: number}> = [
+	{
+		name: 'the process of the primary ends',
+		strike(fleet) {
+			fleet.group.get('orders-0').isDown = true;
+		},
+		isPromoted: true,
+		limit: writeGapTargetMilliseconds,
+	},
+	{
+		name: 'the primary is cut off from all hosts',
+		strike(fleet) {
+			for (const {name} of fleet.hosts) {
+				fleet.group.get('orders-0').cutFrom.add(name);
+			}
+		},
+		isPromoted: true,
+		limit: writeGapTargetMilliseconds,
+	},
+	{
+		name: 'the primary and two hosts are cut off from everything else',
+		strike(fleet) {
+			const [first, second, ...others] = fleet.hosts;
+			for (const {name} of others) {
+				fleet.group.get('orders-0').cutFrom.add(name);
+			}
+
+			for (const host of [first!, second!]) {
+				isolate(host, fleet, [first!.name, second!.name]);
+			}
+		},
+		isPromoted: true,
+		// Hosts that are cut off keep their permission for another 0.8 s.
+		limit: writeGapTargetMilliseconds + 1000,
+	},
+	{
+		name: 'two of six hosts lose the primary',
+		strike(fleet) {
+			fleet.group.get('orders-0').cutFrom.add('host-0').add('host-1');
+		},
+		isPromoted: false,
+		limit: writeGapTargetMilliseconds,
+	},
+	{
+		name: 'the store is down for all hosts',
+		strike(fleet) {
+			for (const {store} of fleet.hosts) {
+				store.isCut = true;
+			}
+		},
+		isPromoted: false,
+		limit: 500,
+	},
+];
+
+function isolate(host: FakeHost, fleet: FakeFleet, reachable: readonly string[]): void {
+	host.store.isCut = true;
+	for (const other of fleet.hosts) {
+		if (!reachable.includes(other.name)) {
+			host.cutFrom.add(other.name);
+		}
+	}
+
+	for (const replica of fleet.group.instances.filter(({role}) => role === InstanceRole.Replica)) {
+		replica.cutFrom.add(host.name);
+	}
+}
+
+describe('replacement of a primary', () => {
+	// Guards against writes that a replaced primary acknowledges, against long gaps in writes, and against promotions
+	// that only interrupt service.
+	it.each(losses)('keeps one acknowledging primary when $name', async ({strike, isPromoted, limit}) => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const writers = fleet.startWriters();
+		await fleet.timer.advance(1000);
+		strike(fleet);
+		const struckAt = fleet.timer.now();
+		await fleet.timer.advance(6000);
+		writers.stop();
+		await fleet.timer.advance(2000);
+
+		expect(fleet.promotions.length > 0, JSON.stringify(fleet.promotions)).toBe(isPromoted);
+		const promotedAt = fleet.group.promotedAt[0] ?? Number.POSITIVE_INFINITY;
+		const acknowledged = new Set(writers.results.filter(({result}) => !result.error).map(({identifier}) => identifier));
+		const lateCommits = fleet.group.commits.filter(({instance, at, identifier}) => instance === 'orders-0' && at > promotedAt && acknowledged.has(identifier));
+		expect(lateCommits).toEqual([]);
+		const firstAfter = writers.results.find(({at, result}) => at > struckAt + 50 && !result.error);
+		expect(firstAfter!.at - struckAt).toBeLessThanOrEqual(limit);
+	});
+
+	// Guards against a write that takes effect although the client was told that it did not run, or takes effect twice.
+	it('states truthfully whether a write ran', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const writers = fleet.startWriters();
+		await fleet.timer.advance(500);
+		fleet.group.get('orders-0').responsesToLose = 8;
+		await fleet.timer.advance(1000);
+		fleet.group.get('orders-0').isDown = true;
+		await fleet.timer.advance(4000);
+		writers.stop();
+		await fleet.timer.advance(2000);
+
+		const committed = fleet.group.commits.map(({identifier}) => identifier);
+		expect(new Set(committed).size).toBe(committed.length);
+		const refused = writers.results.filter(({result}) => result.error && result.error.code !== StatementErrorCode.OutcomeUnknown);
+		expect(refused.filter(({identifier}) => committed.includes(identifier))).toEqual([]);
+		expect(writers.results.some(({result}) => result.error?.code === StatementErrorCode.OutcomeUnknown)).toBe(true);
+	});
+
+	// Guards against a change that an ended promoter began and that nobody completes.
+	it('completes a change after the whole fleet was restarted in the middle of it', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		for (const {name} of fleet.hosts) {
+			fleet.group.get('orders-0').cutFrom.add(name);
+		}
+
+		const writers = fleet.startWriters();
+		for (let step = 0; step < 400 && fleet.promotions.length === 0; step++) {
+			await fleet.timer.advance(10);
+		}
+
+		expect(fleet.promotions.length).toBe(1);
+		writers.stop();
+		for (const {host} of fleet.hosts) {
+			await Promise.race([host[Symbol.asyncDispose](), fleet.timer.advance(10)]);
+		}
+
+		for (const [index, {name}] of [...fleet.hosts].entries()) {
+			fleet.addHost(name, ['zone-a', 'zone-b', 'zone-c'][index % 3]!);
+		}
+
+		await fleet.timer.advance(4000);
+		expect((await fleet.run(fleet.open(0, Consistency.Primary), StatementKind.Write)).error).toBeUndefined();
+		expect(fleet.getLeader()).not.toBe('orders-0');
+	});
+
+	// Guards against two holders of one fencing token, and against a token lower than an earlier one.
+	it('increases the fencing token with each change of the promoter', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		for (let round = 0; round < 2; round++) {
+			const leader = fleet.getLeader();
+			fleet.group.get(leader).isDown = true;
+			const writers = fleet.startWriters();
+			await fleet.timer.advance(5000);
+			writers.stop();
+			await fleet.timer.advance(1500);
+			const promoter = fleet.promotions.at(-1)!.holder;
+			const index = fleet.hosts.findIndex(({name}) => name === promoter);
+			await Promise.race([fleet.hosts[index]!.host[Symbol.asyncDispose](), fleet.timer.advance(50)]);
+			fleet.addHost(promoter, 'zone-a');
+			fleet.group.get(leader).isDown = false;
+			fleet.group.get(leader).role = InstanceRole.Replica;
+			fleet.group.get(leader).log = [...fleet.group.get(fleet.getLeader()).log];
+			await fleet.timer.advance(2000);
+		}
+
+		const tokens = fleet.promotions.map(({fencingToken}) => fencingToken);
+		expect(tokens).toEqual(tokens.toSorted((left, right) => left - right));
+		const holders = new Map<number, string>();
+		for (const {fencingToken, holder} of fleet.promotions) {
+			expect(holders.get(fencingToken) ?? holder).toBe(holder);
+			holders.set(fencingToken, holder);
+		}
+	});
+
+	// Guards against work for a primary that is about to stop, and against commits lost by a planned change.
+	it('moves away from a primary that leaves without losing a commit', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const writers = fleet.startWriters();
+		await fleet.timer.advance(500);
+		fleet.putInstance({...fleet.group.get('orders-0').entry, leaving: true});
+		await fleet.timer.advance(3000);
+		writers.stop();
+		await fleet.timer.advance(1500);
+
+		expect(fleet.getLeader()).not.toBe('orders-0');
+		const leader = fleet.group.get(fleet.getLeader());
+		const indexes = new Set(leader.log.map(({index}) => index));
+		const acknowledged = new Set(writers.results.filter(({result}) => !result.error).map(({identifier}) => identifier));
+		expect(fleet.group.commits.filter(({identifier, position}) => acknowledged.has(identifier) && !indexes.has(position.index))).toEqual([]);
+	});
+});
+
+describe('permission to use primaries', () => {
+	// Guards against work at a replaced primary after the monotonic clock stood still.
+	it('ends when the process may have been suspended', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		fleet.hosts[0]!.store.isCut = true;
+		for (const other of fleet.hosts.slice(1)) {
+			fleet.hosts[0]!.cutFrom.add(other.name);
+		}
+
+		fleet.hosts[0]!.wallClock.offset = 5000;
+		const result = await fleet.run(fleet.open(0, Consistency.Primary), StatementKind.Write);
+		expect(result.error?.code).toBe(StatementErrorCode.Overloaded);
+		expect(fleet.group.commits).toEqual([]);
+	});
+
+	// Guards against a host that lost the store and most other hosts but goes on writing.
+	it('ends when neither the store nor a majority of the hosts answers', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		isolate(fleet.hosts[0]!, fleet, [fleet.hosts[0]!.name, fleet.hosts[1]!.name]);
+		await fleet.timer.advance(1000);
+		const result = await fleet.run(fleet.open(0, Consistency.Primary), StatementKind.Write);
+		expect(result.error?.code).toBe(StatementErrorCode.Overloaded);
+	});
+
+	// Guards against a host that stops serving because the store turns just this host away.
+	it('goes on when the store turns one host away', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		fleet.hosts[0]!.store.isCut = true;
+		await fleet.timer.advance(5000);
+		expect((await fleet.run(fleet.open(0, Consistency.Primary), StatementKind.Write)).error).toBeUndefined();
+	});
+});
