Ask the primary for its position before reads use its slots

Cause: after a restart of all hosts no host knew a position, so each waiting read queued at the primary of its group and took its 2 or 3 slots for a second. Three groups lost their primaries to one zone, and each was suspected on its own. Change: reads without a fresh position wait for one status request per group. A host probes a primary that another host suspects, and the other primaries of its zone, and suspects it after 200 ms of silence.

--- a/packages/direct/src/connection/instance-pool.ts
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -20,6 +20,9 @@
  */
 const unresponsiveMilliseconds = 250;
 
+/** Time after a sign of life in which an instance is not asked for another one, in milliseconds. */
+const probeSpacingMilliseconds = 100;
+
 /** Weight of a new measurement in the average of the service time. */
 const serviceTimeWeight = 0.1;
 
@@ -227,6 +230,14 @@
 		}
 	}
 
+	/** Opens a connection to find out whether the instance answers, unless something is outstanding anyway. */
+	probe(): void {
+		const isRecent = this.#timer.now() - this.#lastHeardAt < probeSpacingMilliseconds;
+		if (this.#unansweredSince === undefined && !isRecent && !this.#closed && !this.#disposed) {
+			void this.#dial();
+		}
+	}
+
 	/** Ends waits whose deadline has passed and retries connection attempts. Called at a fixed interval. */
 	sweep(now: number): void {
 		if (this.#waiting.length > 0 && !this.isResponsive(now)) {
--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -15,6 +15,7 @@
 import {type Route} from '../version/deployment-configuration.js';
 import {AcquireFailure, type InstancePool} from './instance-pool.js';
 import {getPreparedName, type PooledConnection, type SessionContext} from './pooled-connection.js';
+import {PositionRefresher} from './position-refresher.js';
 import {rollBackAndRelease} from './roll-back-and-release.js';
 import {Progress, runStatement} from './run-statement.js';
 import {type UpstreamStatement} from './upstream-channel.js';
@@ -69,6 +70,11 @@
 	readonly reign?: number;
 };
 
+enum PositionNeed {
+	/** The host has to observe a fresher position first. */
+	Fresher = 'fresher',
+}
+
 type Target = {
 	readonly known: KnownInstance;
 	readonly pool: InstancePool;
@@ -86,6 +92,7 @@
 	readonly #timer: TimerService;
 	readonly #log: EventLog;
 	readonly #availabilityZone: string;
+	readonly #refresher: PositionRefresher;
 
 	/**
 	 * @param options - Services, and the zone of this host.
@@ -94,6 +101,7 @@
 		this.#timer = options.timer;
 		this.#log = options.log;
 		this.#availabilityZone = options.availabilityZone;
+		this.#refresher = new PositionRefresher(options.timer);
 	}
 
 	/**
@@ -111,7 +119,17 @@
 		const tried = new Set<InstancePool>();
 		let reason = 'no instance is available';
 		for (let attempts = 0; attempts < maximumAttempts && this.#timer.now() < request.deadline;) {
-			const target = this.#chooseTarget(work, tried);
+			const minimumPosition = this.#getReplicaPosition(work);
+			if (minimumPosition === PositionNeed.Fresher) {
+				// The primary answers a status request sooner than a read, and its slots stay free for writes.
+				if (!(await this.#refresher.refresh(work.group))) {
+					await this.#waitForChange(work.group, request.deadline);
+				}
+
+				continue;
+			}
+
+			const target = this.#chooseTarget(work.group, minimumPosition, tried);
 			if (!target) {
 				await this.#waitForChange(work.group, request.deadline);
 				continue;
@@ -149,23 +167,22 @@
 		return {result: createError(StatementErrorCode.Overloaded, `${reason}; retry after ${retryPauseMilliseconds * 5} ms`)};
 	}
 
-	#chooseTarget(work: FirstStatement, tried: ReadonlySet<InstancePool>): Target | undefined {
-		const minimumPosition = this.#getReplicaPosition(work);
+	#chooseTarget(group: InstanceGroupState, minimumPosition: LogPosition | undefined, tried: ReadonlySet<InstancePool>): Target | undefined {
 		if (minimumPosition) {
-			const replica = this.#chooseReplica(work.group, tried);
+			const replica = this.#chooseReplica(group, tried);
 			if (replica) {
 				return {known: replica, pool: replica.pool, minimumPosition};
 			}
 		}
 
-		const primary = work.group.getUsablePrimary();
+		const primary = group.getUsablePrimary();
 		return primary && !primary.known.pool.closed
 			? {known: primary.known, pool: primary.known.pool, reign: primary.reign}
 			: undefined;
 	}
 
-	/** Returns the position that a replica must hold, or `undefined` if only the primary can serve the statement. */
-	#getReplicaPosition({statement, begin, route, group, definition, floor, arrivedAt}: FirstStatement): LogPosition | undefined {
+	/** Returns the position that a replica must hold, or `undefined` if only the primary may serve the statement. */
+	#getReplicaPosition({statement, begin, route, group, definition, floor, arrivedAt}: FirstStatement): LogPosition | PositionNeed.Fresher | undefined {
 		const isReadOnly = begin === undefined
 			? statement.kind === StatementKind.Read || (statement.kind === StatementKind.Execute && definition?.writes === false)
 			: begin === 'read-only';
@@ -176,7 +193,7 @@
 		return group.ledger.getRequiredPosition(
 			arrivedAt - route.maximumStalenessMilliseconds + stalenessMarginMilliseconds,
 			route.consistency === Consistency.ReadYourWrites ? floor : undefined,
-		);
+		) ?? PositionNeed.Fresher;
 	}
 
 	#chooseReplica(group: InstanceGroupState, tried: ReadonlySet<InstancePool>): KnownInstance | undefined {
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -89,7 +89,8 @@
 			readFleet: async () => this.#follower.read(fleetPrefix),
 		});
 		this.#coordinator = new PromotionCoordinator({
-			...options, registration: this.#registration, fleet: this.#fleet, isStoreAvailable: () => this.#follower.isAvailable,
+			...options, registration: this.#registration, fleet: this.#fleet, getGroups: () => this.#groups.values(),
+			isStoreAvailable: () => this.#follower.isAvailable,
 			readFleet: async () => this.#follower.read(fleetPrefix),
 		});
 		this.#witness = new AuthorityWitness({
--- a/packages/direct/src/process/promotion-coordinator.ts
+++ b/packages/direct/src/process/promotion-coordinator.ts
@@ -41,10 +41,10 @@
 const stalledChangeMilliseconds = authorityMilliseconds + promotionTimeoutMilliseconds;
 
 /** Time for which hosts may confirm a change before their leases are ended, in milliseconds. */
-const promptConfirmationMilliseconds = 150;
+const promptConfirmationMilliseconds = 75;
 
 /** Time for which a connection in use may end its statement before a host confirms an announced change, in milliseconds. */
-const confirmationGraceMilliseconds = 100;
+const confirmationGraceMilliseconds = 50;
 
 /**
  * Time for which a primary that answers stays in use although it is missing from the list, in milliseconds. A
@@ -71,6 +71,8 @@
 	readonly promotions: PromotionService;
 	readonly registration: HostRegistration;
 	readonly fleet: FleetView;
+	/** Returns all groups. */
+	getGroups(): Iterable<InstanceGroupState>;
 	/** Whether the store answers this host. */
 	isStoreAvailable(): boolean;
 	/** Reads the records of the fleet; returns whether the store answered. */
@@ -146,17 +148,41 @@
 	#publishSuspicion(group: InstanceGroupState, record: VersionedGroupRecord): void {
 		const {registration, log} = this.#options;
 		const isSuspected = registration.record.suspected.includes(group.name);
+		const isDoubted = this.#getSuspecting(group).some(name => name !== this.#options.hostName);
+		const known = group.instances.get(record.primary);
+		if (isDoubted) {
+			known?.pool.probe();
+		}
+
 		const observation = this.#observe(group, record);
-		if (isSuspicious(observation) === isSuspected) {
+		if (isSuspicious(observation, isDoubted) === isSuspected) {
 			return;
 		}
 
+		if (!isSuspected && known) {
+			this.#probeZone(known.pool.instance.availabilityZone);
+		}
+
 		log.write(isSuspected ? 'primary-trusted' : 'primary-suspected', {group: group.name, instance: record.primary, ...observation});
 		registration.update({suspected: isSuspected
 			? registration.record.suspected.filter(name => name !== group.name)
 			: [...registration.record.suspected, group.name]});
 	}
 
+	/** Asks the other primaries of a zone for a sign of life, because a partition may have cut off all of it. */
+	#probeZone(availabilityZone: string): void {
+		for (const {record, instances} of this.#options.getGroups()) {
+			const pool = record && instances.get(record.primary)?.pool;
+			if (pool?.instance.availabilityZone === availabilityZone) {
+				pool.probe();
+			}
+		}
+	}
+
+	#getSuspecting(group: InstanceGroupState): string[] {
+		return [...this.#options.fleet.hosts].filter(([, {record}]) => record.suspected.includes(group.name)).map(([name]) => name);
+	}
+
 	#observe(group: InstanceGroupState, record: GroupRecord) {
 		const now = this.#options.timer.now();
 		const known = group.instances.get(record.primary);
@@ -190,8 +216,7 @@
 
 	#isLost(group: InstanceGroupState): boolean {
 		// A primary that a minority can't reach serves the others.
-		const hosts = [...this.#options.fleet.hosts.values()];
-		return isMajority(hosts.filter(host => host.record.suspected.includes(group.name)).length, hosts.length);
+		return isMajority(this.#getSuspecting(group).length, this.#options.fleet.hosts.size);
 	}
 
 	#considerChange(group: InstanceGroupState, record: VersionedGroupRecord): void {
--- a/packages/direct/src/request/suspicion.ts
+++ b/packages/direct/src/request/suspicion.ts
@@ -11,6 +11,9 @@
 /** Silence after which a primary is suspected, in milliseconds: several times the longest usual statement. */
 const suspiciousSilenceMilliseconds = 400;
 
+/** Silence after which a primary is suspected that another host suspects already, in milliseconds. */
+const doubtedSilenceMilliseconds = 200;
+
 /** Time for which connection attempts must fail before a primary is suspected, in milliseconds; one more attempt fits in. */
 const suspiciousUnreachableMilliseconds = 150;
 
@@ -21,9 +24,10 @@
  * Returns whether a primary appears to be lost.
  *
  * @param observation - What this host observes.
+ * @param isDoubted - Whether another host suspects the primary.
  */
-export function isSuspicious(observation: PrimaryObservation): boolean {
+export function isSuspicious(observation: PrimaryObservation, isDoubted: boolean): boolean {
 	return observation.unknownMilliseconds >= suspiciousUnknownMilliseconds
-		|| observation.silenceMilliseconds >= suspiciousSilenceMilliseconds
+		|| observation.silenceMilliseconds >= (isDoubted ? doubtedSilenceMilliseconds : suspiciousSilenceMilliseconds)
 		|| observation.unreachableMilliseconds >= suspiciousUnreachableMilliseconds;
 }
