Avoid replicas that lack a position for longer

Change: a replica gets no read that demands a position at or after one that it lacked; the time doubles from 50 to 800 ms while it still lacks it.

--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -1,4 +1,4 @@
-import {type LogPosition} from '@tarragonstack/core/request/log-position';
+import {compareLogPositions, type LogPosition} from '@tarragonstack/core/request/log-position';
 import {TransactionStatus} from '@tarragonstack/core/request/transaction-status';
 import {type TimerService} from '@tarragonstack/core/time/timer-service';
 import {type EventLog} from '../process/event-log.js';
@@ -33,8 +33,9 @@
 /** Longest pause before an instance or the list of instances is looked at again, in milliseconds. */
 const retryPauseMilliseconds = 20;
 
-/** Time for which a replica that lacked a position gets no reads that others can serve, in milliseconds. */
-const behindPenaltyMilliseconds = 100;
+/** Bounds of the time for which a replica that lacked a position gets no reads that demand it, in milliseconds. */
+const minimumLagPenaltyMilliseconds = 50;
+const maximumLagPenaltyMilliseconds = 800;
 
 /** Greatest number of attempts of one statement. */
 const maximumAttempts = 12;
@@ -169,7 +170,7 @@
 
 	#chooseTarget(group: InstanceGroupState, minimumPosition: LogPosition | undefined, tried: ReadonlySet<InstancePool>): Target | undefined {
 		if (minimumPosition) {
-			const replica = this.#chooseReplica(group, tried);
+			const replica = this.#chooseReplica(group, minimumPosition, tried);
 			if (replica) {
 				return {known: replica, pool: replica.pool, minimumPosition};
 			}
@@ -196,15 +197,15 @@
 		) ?? PositionNeed.Fresher;
 	}
 
-	#chooseReplica(group: InstanceGroupState, tried: ReadonlySet<InstancePool>): KnownInstance | undefined {
+	#chooseReplica(group: InstanceGroupState, position: LogPosition, tried: ReadonlySet<InstancePool>): KnownInstance | undefined {
 		const now = this.#timer.now();
 		const primary = group.record?.primary;
 		const replicas = [...group.instances.values()].filter(({pool}) => pool.instance.id !== primary && !pool.instance.leaving && !pool.closed);
-		return replicas[chooseReadCandidate(replicas.map(({pool, behindUntil}) => ({
+		return replicas[chooseReadCandidate(replicas.map(({pool, lag}) => ({
 			load: pool.load,
 			serviceTime: pool.serviceTime,
 			isLocalZone: pool.instance.availabilityZone === this.#availabilityZone,
-			isBehind: behindUntil > now,
+			isBehind: lag !== undefined && now < lag.until && compareLogPositions(position, lag.missing) >= 0,
 			isReachable: pool.isResponsive(now),
 			isTried: tried.has(pool),
 		})))];
@@ -259,6 +260,10 @@
 
 	#succeed(work: FirstStatement, target: Target, connection: PooledConnection, result: StatementResult): Attempt {
 		const reign = target.reign === undefined ? {} : {reign: target.reign};
+		if (target.minimumPosition) {
+			delete target.known.lag;
+		}
+
 		if (work.begin && result.status === TransactionStatus.InTransaction) {
 			return {outcome: {result, held: {connection, pool: target.pool, ...reign}, ...reign}};
 		}
@@ -290,12 +295,23 @@
 		}
 
 		if (code === StatementErrorCode.Behind) {
-			target.known.behindUntil = this.#timer.now() + behindPenaltyMilliseconds;
+			this.#noteLag(target);
 		}
 
 		return {};
 	}
 
+	/** Avoids a replica that lacks a position, for longer each time that it still does. */
+	#noteLag({known, minimumPosition}: Target): void {
+		if (minimumPosition) {
+			const now = this.#timer.now();
+			const penaltyMilliseconds = known.lag && now > known.lag.until
+				? Math.min(maximumLagPenaltyMilliseconds, known.lag.penaltyMilliseconds * 2)
+				: known.lag?.penaltyMilliseconds ?? minimumLagPenaltyMilliseconds;
+			known.lag = {missing: minimumPosition, until: now + penaltyMilliseconds, penaltyMilliseconds};
+		}
+	}
+
 	async #waitForChange(group: InstanceGroupState, deadline: number): Promise<void> {
 		const now = this.#timer.now();
 		const abort = new AbortController();
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -275,7 +275,7 @@
 		} else {
 			known?.pool[Symbol.dispose]();
 			const pool = new InstancePool(entry, dialer, {timer, log, maximumConnections: this.#getShare(entry.group)});
-			group.instances.set(entry.id, {pool, behindUntil: 0});
+			group.instances.set(entry.id, {pool});
 			pool.warmUp();
 		}
 
--- a/packages/direct/src/process/instance-group-state.ts
+++ b/packages/direct/src/process/instance-group-state.ts
@@ -1,3 +1,4 @@
+import {type LogPosition} from '@tarragonstack/core/request/log-position';
 import {FreshnessLedger} from '../request/freshness-ledger.js';
 import {type InstancePool} from '../connection/instance-pool.js';
 import {GroupPhase, type VersionedGroupRecord} from './group-record.js';
@@ -9,13 +10,23 @@
  */
 export const missingInstanceMilliseconds = 3000;
 
+/** Position that a replica lacked. */
+export type ReplicaLag = {
+	/** Lowest position that it is known to lack. */
+	readonly missing: LogPosition;
+	/** Monotonic time until which no read that demands the position, or a later one, is sent to it. */
+	readonly until: number;
+	/** Time for which it was avoided, in milliseconds. */
+	readonly penaltyMilliseconds: number;
+};
+
 /** Instance of a group as this host knows it. */
 export type KnownInstance = {
 	pool: InstancePool;
 	/** Monotonic time since which the instance has been missing from the list, or `undefined`. */
 	missingSince?: number;
-	/** Monotonic time until which the instance is expected to lag too far behind for reads. */
-	behindUntil: number;
+	/** What the instance lacked when it last refused a read, or `undefined` if it has served reads since. */
+	lag?: ReplicaLag;
 };
 
 /** What this host knows of one group. */
--- a/packages/direct/src/request/read-placement.ts
+++ b/packages/direct/src/request/read-placement.ts
@@ -5,7 +5,7 @@
 	/** Average time of a statement in milliseconds. */
 	readonly serviceTime: number;
 	readonly isLocalZone: boolean;
-	/** Whether the instance is expected to lag too far behind. */
+	/** Whether the instance is known to lack what the read demands. */
 	readonly isBehind: boolean;
 	readonly isReachable: boolean;
 	/** Whether the instance was already tried for this read. */
@@ -15,26 +15,22 @@
 /** Cost of a hop between zones in milliseconds: two one-way delays of 0.7 ms more than inside a zone, and the priced bytes. */
 const zoneHopMilliseconds = 3;
 
-/** Cost in milliseconds that puts unsuitable candidates behind all others without excluding them. */
-const unsuitableMilliseconds = 100_000;
-
 /**
  * Chooses where a read runs: the candidate with the lowest expected finish time.
  *
  * @param candidates - Replicas that may serve the read.
- * @returns Index of the candidate, or -1 if all have been tried or are unreachable.
+ * @returns Index of the candidate, or -1 if none is left.
  */
 export function chooseReadCandidate(candidates: readonly ReadCandidate[]): number {
 	let best = -1;
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const [index, candidate] of candidates.entries()) {
-		if (candidate.isTried || !candidate.isReachable) {
+		if (candidate.isTried || candidate.isBehind || !candidate.isReachable) {
 			continue;
 		}
 
 		const cost = ((candidate.load + 1) * candidate.serviceTime)
-			+ (candidate.isLocalZone ? 0 : zoneHopMilliseconds)
-			+ (candidate.isBehind ? unsuitableMilliseconds : 0);
+			+ (candidate.isLocalZone ? 0 : zoneHopMilliseconds);
 		if (cost < bestCost) {
 			best = index;
 			bestCost = cost;
