Test the adapter and the whole daemon on stand-ins of the platform

Hosts of an isolated zone kept their clients although they could serve almost nothing. Change: stand-ins of the metadata store, of the promote call and of an instance on the wire; tests of each codec and client, a property test of the line splitter, and the bundled daemon as processes: sessions, loss of the primary, planned stop. A test keeps the platform's names out of the product. A host without permission for 0.3 s is not ready and, after 2.2 s, closes idle connections, so that hosts of other zones serve its clients.

--- a/packages/direct/src/connection/client-listener.ts
+++ b/packages/direct/src/connection/client-listener.ts
@@ -10,7 +10,6 @@
 export class ClientListener {
 	readonly #server: Server;
 	readonly #connections = new Set<ClientConnection>();
-	#closesWhenIdle = false;
 
 	/**
 	 * @param host - Host that serves the clients.
@@ -27,6 +26,11 @@
 		});
 	}
 
+	/** Open connections. */
+	get connectionCount(): number {
+		return this.#connections.size;
+	}
+
 	/** Connections on which a request is being executed or a transaction is open. */
 	get busyConnections(): number {
 		return [...this.#connections].filter(connection => connection.isBusy).length;
@@ -40,19 +44,13 @@
 		});
 	}
 
-	/** Closes each connection as soon as it is idle. */
+	/** Closes each present connection as soon as it is idle. */
 	closeIdle(): void {
-		this.#closesWhenIdle = true;
 		for (const connection of this.#connections) {
 			connection.closeWhenIdle();
 		}
 	}
 
-	/** Whether idle connections are being closed. */
-	get isClosing(): boolean {
-		return this.#closesWhenIdle;
-	}
-
 	/** Closes everything at once. */
 	destroy(): void {
 		this.#server.close();
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -26,8 +26,11 @@
 /** Interval at which time limits are checked, in milliseconds. */
 const sweepIntervalMilliseconds = 25;
 
-/** Time without permission to use primaries after which the host asks for no new clients, in milliseconds. */
-const unauthorizedMilliseconds = 1000;
+/**
+ * Time without permission to use primaries after which the host asks for no new clients, in milliseconds. Hosts of other
+ * zones serve them meanwhile if the whole zone is isolated. A suspension costs the permission for a few milliseconds only.
+ */
+const unauthorizedMilliseconds = 300;
 
 /** Options of a `DirectHost`. */
 export type DirectHostOptions = {
@@ -68,6 +71,7 @@
 	#configuration: DeploymentConfiguration | undefined;
 	#sweeper: Disposable | undefined;
 	#isLeaving = false;
+	#authorizedAt: number | undefined;
 
 	/**
 	 * @param options - Identity of the host and its services.
@@ -105,9 +109,16 @@
 
 	/** Whether the host serves clients and wants new ones. */
 	get isReady(): boolean {
-		return !this.#isLeaving && this.#configuration !== undefined
-			&& this.#options.timer.now() < this.#authority.validUntil + unauthorizedMilliseconds
-			&& this.#authority.validUntil > 0;
+		return !this.#isLeaving && this.#configuration !== undefined && (this.getUnauthorizedTime() ?? Number.POSITIVE_INFINITY) < unauthorizedMilliseconds;
+	}
+
+	/** Returns for how long the host has had no permission to use primaries, in milliseconds; `undefined` if it never had one. */
+	getUnauthorizedTime(): number | undefined {
+		if (this.#authority.isValid()) {
+			return 0;
+		}
+
+		return this.#authorizedAt === undefined ? undefined : this.#options.timer.now() - this.#authorizedAt;
 	}
 
 	/** Begins to follow the store and to check time limits. */
@@ -335,6 +346,10 @@
 
 	#sweep(now: number): void {
 		this.#witness.sweep(now);
+		if (this.#authority.isValid()) {
+			this.#authorizedAt = now;
+		}
+
 		for (const group of this.#groups.values()) {
 			for (const [id, known] of group.instances) {
 				known.pool.sweep(now);
--- a/packages/direct/src/process/graceful-stop.ts
+++ b/packages/direct/src/process/graceful-stop.ts
@@ -6,7 +6,7 @@
  * Time after which a load balancer sends no new clients, in milliseconds: two health checks, one second apart, with some
  * margin. A client that is sent away sooner might return to this host.
  */
-const rotationMilliseconds = 2200;
+export const rotationMilliseconds = 2200;
 
 /** Share of the grace time after which the process ends even if requests are running. */
 const forcedShare = 0.9;
--- a/packages/direct/src/process/index.ts
+++ b/packages/direct/src/process/index.ts
@@ -1,5 +1,6 @@
 export * from './authority-witness.js';
 export * from './direct-host.js';
+export * from './evacuation.js';
 export type * from './event-log.js';
 export * from './fleet-view.js';
 export * from './graceful-stop.js';
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,6 +1,7 @@
 export * from './instance/index.js';
 export * from './key-value/index.js';
 export * from './membership/index.js';
+export * from './platform/index.js';
 export * from './relay/index.js';
 
 /** Version of the package. */
--- /dev/null
+++ b/packages/stand-ins/src/platform/index.ts
@@ -0,0 +1,2 @@
+export * from './platform-store.js';
+export * from './wire-instance.js';
--- /dev/null
+++ b/packages/stand-ins/src/platform/platform-store.ts
@@ -0,0 +1,208 @@
+import {HttpEndpoint, HttpError, type HttpCall} from '../process/http-endpoint.js';
+
+/** Items of one page of a range; the platform's pages are larger, so that tests see more than one. */
+const pageItems = 50;
+
+type Item = {readonly key: string; readonly value: string; readonly rev: number; readonly create_revision: number; readonly lease: number};
+
+type Event = Item | {readonly key: string; readonly rev: number; readonly deleted: true};
+
+/** Order of a promotion that the stand-in received. */
+export type ReceivedPromotion = {readonly backend: string; readonly id: string; readonly holder: string; readonly token: number};
+
+/** Stand-in of the platform's metadata store and of its promote call. */
+export class PlatformStore implements AsyncDisposable {
+	/** Orders of promotions, in order of arrival. */
+	readonly promotions: ReceivedPromotion[] = [];
+	/** Status that all calls get, or `undefined` to serve them. */
+	rejectWith: number | undefined;
+	/** Whether calls are executed but not answered. */
+	losesAnswers = false;
+	/** Called for each order of a promotion; returns whether the instance runs. */
+	onPromote: (promotion: ReceivedPromotion) => boolean = () => true;
+	readonly #items = new Map<string, Item>();
+	readonly #events: Event[] = [];
+	readonly #leases = new Set<number>();
+	readonly #waiting = new Set<() => void>();
+	readonly #endpoint = new HttpEndpoint(call => this.#handle(call));
+	readonly #handlers: Readonly<Record<string, (call: HttpCall) => unknown>> = {
+		'GET /kv-key': ({query}) => this.#getItem(query.get('key') ?? ''),
+		'GET /kv-range': ({query}) => this.#getRange(query),
+		'GET /kv-watch': async ({query}) => this.#watch(query),
+		'POST /kv-txn': ({body}) => this.#commit(body),
+		'POST /kv-lease': ({body}) => this.#createLease(body),
+		'POST /promote': ({body, request}) => this.#promote(body, request.headers),
+	};
+
+	#revision = 10;
+	#nextLease = 7000;
+	#forgotten = 0;
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @param address - IP address.
+	 * @returns The address with the port.
+	 */
+	async listen(address: string): Promise<string> {
+		return this.#endpoint.listen(address, 0);
+	}
+
+	/** Writes an item, as the operator or an instance does. */
+	put(key: string, value: unknown): void {
+		this.#write(key, Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)).toString('base64'), 0);
+		this.#wake();
+	}
+
+	/** Returns the text of an item. */
+	get(key: string): string | undefined {
+		const item = this.#items.get(key);
+		return item && Buffer.from(item.value, 'base64').toString();
+	}
+
+	/** Removes an item. */
+	remove(key: string): void {
+		this.#delete(key);
+		this.#wake();
+	}
+
+	/** Discards the history, as a compaction does. */
+	compact(): void {
+		this.#forgotten = this.#revision;
+		this.#wake();
+	}
+
+	/** @inheritdoc */
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#wake();
+		await this.#endpoint[Symbol.asyncDispose]();
+	}
+
+	async #handle(call: HttpCall): Promise<unknown> {
+		const answer = await this.#execute(call);
+		return this.losesAnswers ? undefined : answer;
+	}
+
+	#execute(call: HttpCall): unknown {
+		if (this.rejectWith !== undefined) {
+			throw new HttpError(this.rejectWith, {error: 'rejected'});
+		}
+
+		const handler = this.#handlers[`${call.method} ${call.path}`];
+		if (handler) {
+			return handler(call);
+		}
+
+		const lease = Number(/^\/kv-(?:keep|lease-end)\/(?<id>\d+)$/v.exec(call.path)?.groups?.['id']);
+		if (!this.#leases.has(lease)) {
+			throw new HttpError(404, {error: 'not found'});
+		}
+
+		if (call.method === 'DELETE') {
+			this.#leases.delete(lease);
+		}
+
+		return {ttl_ms: 10_000};
+	}
+
+	#getItem(key: string): unknown {
+		const item = this.#items.get(key);
+		if (!item) {
+			throw new HttpError(404, {error: 'not found'});
+		}
+
+		return {...item, store_revision: this.#revision};
+	}
+
+	#getRange(query: URLSearchParams): unknown {
+		const after = query.get('after') ?? '';
+		const items = [...this.#items.values()]
+			.filter(({key}) => key.startsWith(query.get('path_prefix') ?? '') && key > after)
+			.toSorted((left, right) => left.key < right.key ? -1 : 1);
+		return {items: items.slice(0, pageItems), truncated: items.length > pageItems, store_revision: this.#revision};
+	}
+
+	async #watch(query: URLSearchParams): Promise<unknown> {
+		const after = Number(query.get('after'));
+		const find = () => this.#events.filter(({key, rev}) => rev > after && key.startsWith(query.get('path_prefix') ?? ''));
+		if (find().length === 0 && after >= this.#forgotten) {
+			await new Promise<void>(resolve => {
+				const timer = setTimeout(resolve, Number(query.get('wait_ms')));
+				this.#waiting.add(() => {
+					clearTimeout(timer);
+					resolve();
+				});
+			});
+		}
+
+		if (after < this.#forgotten) {
+			throw new HttpError(410, {error: 'gone'});
+		}
+
+		return {events: find(), store_revision: this.#revision};
+	}
+
+	#commit(body: Readonly<Record<string, unknown>>): unknown {
+		const {expected = [], writes = [], remove = []} = body as {
+			expected?: Array<{key: string; rev: number}>; writes?: Array<{key: string; value: string; lease: number}>; remove?: string[];
+		};
+		if (expected.some(({key, rev}) => (this.#items.get(key)?.rev ?? 0) !== rev)) {
+			throw new HttpError(412, {items: expected.map(({key}) => this.#items.get(key)).filter(item => item !== undefined)});
+		}
+
+		if (writes.some(({key}) => key.startsWith('op/') || key.startsWith('servers/'))) {
+			throw new HttpError(403, {error: 'forbidden'});
+		}
+
+		for (const {key, value, lease} of writes) {
+			this.#write(key, value, lease);
+		}
+
+		for (const key of remove) {
+			this.#delete(key);
+		}
+
+		this.#wake();
+		return {rev: this.#revision};
+	}
+
+	#createLease(body: Readonly<Record<string, unknown>>): unknown {
+		this.#nextLease++;
+		this.#leases.add(this.#nextLease);
+		return {lease: this.#nextLease, ttl_ms: body['ttl_ms']};
+	}
+
+	#promote(body: Readonly<Record<string, unknown>>, headers: Readonly<Record<string, string | string[] | undefined>>): unknown {
+		const promotion = {
+			backend: String(body['backend']), id: String(body['id']), holder: String(headers['x-lease-holder']), token: Number(headers['x-fencing-token']),
+		};
+		this.promotions.push(promotion);
+		if (!this.onPromote(promotion)) {
+			throw new HttpError(409, {error: 'the instance is not running'});
+		}
+
+		return {};
+	}
+
+	#write(key: string, value: string, lease: number): void {
+		this.#revision++;
+		const item: Item = {key, value, rev: this.#revision, create_revision: this.#items.get(key)?.create_revision ?? this.#revision, lease};
+		this.#items.set(key, item);
+		this.#events.push(item);
+	}
+
+	#delete(key: string): void {
+		if (this.#items.delete(key)) {
+			this.#revision++;
+			this.#events.push({key, rev: this.#revision, deleted: true});
+		}
+	}
+
+	#wake(): void {
+		for (const wake of this.#waiting) {
+			wake();
+		}
+
+		this.#waiting.clear();
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform/wire-instance.ts
@@ -0,0 +1,164 @@
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+
+/** Options of a `WireInstance`. */
+export type WireInstanceOptions = {
+	readonly service: string;
+	readonly id: string;
+	readonly role: 'primary' | 'replica';
+};
+
+type Session = {
+	status: 'I' | 'T' | 'E';
+	readonly prepared: Map<string, string>;
+};
+
+/** Stand-in of an instance that speaks the platform's wire: one log position, no data. */
+export class WireInstance implements AsyncDisposable {
+	/** Texts that arrived, with the identifiers of their requests. */
+	readonly received: Array<{readonly identifier: string; readonly text: string}> = [];
+	/** Role that the instance reports. */
+	role: 'primary' | 'replica';
+	/** Term of the log. */
+	term = 1;
+	/** Number of the last commit. */
+	index = 0;
+	/** Whether statements get no response. */
+	isSilent = false;
+	/** Words of errors that the next statements get. */
+	readonly nextErrors: string[] = [];
+	readonly #options: WireInstanceOptions;
+	readonly #server: Server;
+	readonly #sockets = new Set<Socket>();
+
+	/**
+	 * @param options - Identity of the instance.
+	 */
+	constructor(options: WireInstanceOptions) {
+		this.#options = options;
+		this.role = options.role;
+		this.#server = createServer(socket => {
+			this.#serve(socket);
+		});
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @param address - IP address.
+	 * @returns The address with the port.
+	 */
+	async listen(address: string): Promise<string> {
+		this.#server.listen(0, address);
+		await once(this.#server, 'listening');
+		return `${address}:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	/** Ends all connections and refuses further ones. */
+	stop(): void {
+		this.#server.close();
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+	}
+
+	/** @inheritdoc */
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.stop();
+	}
+
+	#serve(socket: Socket): void {
+		this.#sockets.add(socket);
+		socket.on('close', () => {
+			this.#sockets.delete(socket);
+		});
+		socket.on('error', () => {
+			// The peer may end the connection at any time in a test.
+		});
+		const session: Session = {status: 'I', prepared: new Map()};
+		let pending = '';
+		socket.on('data', chunk => {
+			pending += chunk.toString('latin1');
+			const lines = pending.split('\r\n');
+			pending = lines.pop() ?? '';
+			for (const line of lines) {
+				const answer = this.isSilent ? '' : this.#answer(line, session, socket);
+				if (answer !== '') {
+					socket.write(answer, 'latin1');
+				}
+			}
+		});
+	}
+
+	#answer(line: string, session: Session, socket: Socket): string {
+		const [word, first = '', ...rest] = line.split(' ');
+		if (word === 'STARTUP') {
+			if (first === this.#options.service && (rest[1] === undefined || rest[1] === this.#options.id)) {
+				return this.#createReady(session);
+			}
+
+			socket.end('ERROR WRONGNODE other\r\n');
+			return '';
+		}
+
+		const text = rest.join(' ');
+		this.received.push({identifier: first, text});
+		const error = this.nextErrors.shift();
+		if (error !== undefined) {
+			session.status = session.status === 'I' ? 'I' : 'E';
+			return `ERROR ${error} stand-in\r\n${this.#createReady(session)}`;
+		}
+
+		return this.#run(first, text.replace(/^AFTER [^ ]+ /v, ''), session);
+	}
+
+	#run(identifier: string, text: string, session: Session): string {
+		const [verb = '', name = '', kind = ''] = text.split(' ');
+		const effective = verb === 'EXECUTE' ? session.prepared.get(name) ?? 'UNKNOWN' : verb;
+		if (effective === 'UNKNOWN') {
+			return `ERROR NOSTMT ${name}\r\n${this.#createReady(session)}`;
+		}
+
+		if ((effective === 'WRITE' || text === 'BEGIN') && this.role === 'replica') {
+			return `ERROR READONLY ${this.#options.id}\r\n${this.#createReady(session)}`;
+		}
+
+		const handlers: Readonly<Record<string, () => string>> = {
+			BEGIN: () => this.#change(session, 'T'),
+			ROLLBACK: () => this.#change(session, 'I'),
+			STATUS: () => `ROW ${this.role} ${this.term} ${this.term}.${this.index} 0 0 0 1\r\nCOMPLETE -\r\n`,
+			STEPDOWN: () => {
+				this.role = 'replica';
+				return `ROW replica ${name} ${this.term}.${this.index} 0 0 0 1\r\nCOMPLETE -\r\n`;
+			},
+			RESET: () => {
+				session.prepared.clear();
+				return 'COMPLETE -\r\n';
+			},
+			PREPARE: () => {
+				session.prepared.set(name, kind);
+				return 'COMPLETE -\r\n';
+			},
+			SET: () => 'COMPLETE -\r\n',
+			READ: () => `ROW ${this.index}\r\nCOMPLETE proof.${identifier}\r\n`,
+			WRITE: () => {
+				this.index++;
+				return `COMPLETE proof.${identifier}\r\n`;
+			},
+			COMMIT: () => {
+				session.status = 'I';
+				return `COMPLETE proof.${identifier}\r\n`;
+			},
+		};
+		return `${handlers[effective]?.() ?? 'ERROR MALFORMED unknown\r\n'}${this.#createReady(session)}`;
+	}
+
+	#change(session: Session, status: Session['status']): string {
+		session.status = status;
+		return 'COMPLETE -\r\n';
+	}
+
+	#createReady({status}: Session): string {
+		return `READY ${status} ${this.term}.${this.index}\r\n`;
+	}
+}
