Send clients away as soon as the load balancer does

Cause: an isolated or stopping host waited 2.2 s, whatever the health checks had shown, and an isolated host asked for clients until its permission had run out. Change: the host counts its own failed answers; after two in a row idle connections are closed. It is not ready 0.6 s after the last renewal.

--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -27,10 +27,11 @@
 const sweepIntervalMilliseconds = 25;
 
 /**
- * Time without permission to use primaries after which the host asks for no new clients, in milliseconds. Hosts of other
- * zones serve them meanwhile if the whole zone is isolated. A suspension costs the permission for a few milliseconds only.
+ * Time since the last renewal of the permission to use primaries after which the host asks for no new clients, in
+ * milliseconds. Hosts of other zones serve them if the whole zone is isolated. Renewals are at most 0.5 s apart, also
+ * while the store is slow or the other hosts stand in for it.
  */
-const unauthorizedMilliseconds = 300;
+const isolatedMilliseconds = 600;
 
 /** Options of a `DirectHost`. */
 export type DirectHostOptions = {
@@ -71,7 +72,6 @@
 	#configuration: DeploymentConfiguration | undefined;
 	#sweeper: Disposable | undefined;
 	#isLeaving = false;
-	#authorizedAt: number | undefined;
 
 	/**
 	 * @param options - Identity of the host and its services.
@@ -109,16 +109,12 @@
 
 	/** Whether the host serves clients and wants new ones. */
 	get isReady(): boolean {
-		return !this.#isLeaving && this.#configuration !== undefined && (this.getUnauthorizedTime() ?? Number.POSITIVE_INFINITY) < unauthorizedMilliseconds;
+		return !this.#isLeaving && this.#configuration !== undefined && !this.isIsolated;
 	}
 
-	/** Returns for how long the host has had no permission to use primaries, in milliseconds; `undefined` if it never had one. */
-	getUnauthorizedTime(): number | undefined {
-		if (this.#authority.isValid()) {
-			return 0;
-		}
-
-		return this.#authorizedAt === undefined ? undefined : this.#options.timer.now() - this.#authorizedAt;
+	/** Whether the permission to use primaries has run out or is about to; a host without it can serve almost nothing. */
+	get isIsolated(): boolean {
+		return this.#options.timer.now() - this.#authority.renewedAt > isolatedMilliseconds;
 	}
 
 	/** Begins to follow the store and to check time limits. */
@@ -346,10 +342,6 @@
 
 	#sweep(now: number): void {
 		this.#witness.sweep(now);
-		if (this.#authority.isValid()) {
-			this.#authorizedAt = now;
-		}
-
 		for (const group of this.#groups.values()) {
 			for (const [id, known] of group.instances) {
 				known.pool.sweep(now);
--- a/packages/direct/src/process/evacuation.ts
+++ b/packages/direct/src/process/evacuation.ts
@@ -2,10 +2,17 @@
 import {type ClientListener} from '../connection/client-listener.js';
 import {type DirectHost} from './direct-host.js';
 import {type EventLog} from './event-log.js';
-import {rotationMilliseconds} from './graceful-stop.js';
+import {type RotationTracker} from './rotation-tracker.js';
 
-/** Interval at which the permission is looked at, in milliseconds. */
-const checkIntervalMilliseconds = 100;
+/** Interval at which the state of the host is looked at, in milliseconds. */
+const checkIntervalMilliseconds = 50;
+
+/** Services of `evacuateWhileIsolated`. */
+export type EvacuationOptions = {
+	readonly rotation: RotationTracker;
+	readonly timer: TimerService;
+	readonly log: EventLog;
+};
 
 /**
  * Sends the clients of an isolated host away, once the load balancer sends them elsewhere.
@@ -17,16 +24,15 @@
  * @param listener - Connections of its clients.
  * @param options - Services.
  */
-export function evacuateWhileIsolated(host: DirectHost, listener: ClientListener, {timer, log}: {timer: TimerService; log: EventLog}): Disposable {
+export function evacuateWhileIsolated(host: DirectHost, listener: ClientListener, {rotation, timer, log}: EvacuationOptions): Disposable {
 	let isEvacuated = false;
 	return timer.subscribe(checkIntervalMilliseconds, () => {
-		const unauthorizedMilliseconds = host.getUnauthorizedTime() ?? 0;
-		const isIsolated = unauthorizedMilliseconds > rotationMilliseconds;
-		if (isIsolated && !isEvacuated) {
-			log.write('clients-evacuated', {connections: listener.connectionCount, unauthorizedMilliseconds: Math.round(unauthorizedMilliseconds)});
+		const mustLeave = host.isConfigured && host.isIsolated && rotation.isOut;
+		if (mustLeave && !isEvacuated) {
+			log.write('clients-evacuated', {connections: listener.connectionCount});
 			listener.closeIdle();
 		}
 
-		isEvacuated = isIsolated;
+		isEvacuated = mustLeave;
 	});
 }
--- a/packages/direct/src/process/graceful-stop.ts
+++ b/packages/direct/src/process/graceful-stop.ts
@@ -1,12 +1,10 @@
 import {type TimerService} from '@tarragonstack/core/time/timer-service';
 import {type ClientListener} from '../connection/client-listener.js';
 import {type EventLog} from './event-log.js';
+import {type RotationTracker} from './rotation-tracker.js';
 
-/**
- * Time after which a load balancer sends no new clients, in milliseconds: two health checks, one second apart, with some
- * margin. A client that is sent away sooner might return to this host.
- */
-export const rotationMilliseconds = 2200;
+/** Share of the grace time after which idle connections are closed although the load balancer may send new clients. */
+const rotationShare = 0.4;
 
 /** Share of the grace time after which the process ends even if requests are running. */
 const forcedShare = 0.9;
@@ -20,11 +18,15 @@
  * @param listener - Connections of clients.
  * @param options - Time until the process is killed, in milliseconds, and services.
  */
-export async function stopGracefully(listener: ClientListener, options: {graceMilliseconds: number; timer: TimerService; log: EventLog}): Promise<void> {
-	const {timer, log, graceMilliseconds} = options;
+export async function stopGracefully(listener: ClientListener, options: {graceMilliseconds: number; rotation: RotationTracker; timer: TimerService; log: EventLog}): Promise<void> {
+	const {timer, log, rotation, graceMilliseconds} = options;
 	const startedAt = timer.now();
 	const forcedAt = startedAt + (graceMilliseconds * forcedShare);
-	await timer.sleep(Math.min(rotationMilliseconds, graceMilliseconds / 2));
+	// A client that is sent away too soon might return to this host.
+	while (!rotation.isOut && timer.now() < startedAt + (graceMilliseconds * rotationShare)) {
+		await timer.sleep(checkIntervalMilliseconds);
+	}
+
 	while (timer.now() < forcedAt) {
 		listener.closeIdle();
 		if (listener.busyConnections === 0) {
--- a/packages/direct/src/process/index.ts
+++ b/packages/direct/src/process/index.ts
@@ -14,6 +14,7 @@
 export * from './primary-authority.js';
 export * from './promotion-coordinator.js';
 export * from './promotion-service.js';
+export * from './rotation-tracker.js';
 export * from './store-follower.js';
 export * from './store-keys.js';
 export * from './suspension-detector.js';
--- a/packages/direct/src/process/primary-authority.ts
+++ b/packages/direct/src/process/primary-authority.ts
@@ -20,7 +20,7 @@
 	readonly #timer: TimerService;
 	readonly #suspension: SuspensionDetector;
 	readonly #requestRenewal: () => void;
-	#validUntil = 0;
+	#validUntil = Number.NEGATIVE_INFINITY;
 	#leaseRenewedAt = Number.NEGATIVE_INFINITY;
 
 	/**
@@ -39,6 +39,11 @@
 		return this.#validUntil;
 	}
 
+	/** Monotonic time of the last renewal. */
+	get renewedAt(): number {
+		return this.#validUntil - authorityMilliseconds;
+	}
+
 	/** Monotonic time before the last successful renewal of the lease; without a lease it lies infinitely far back. */
 	get leaseRenewedAt(): number {
 		return this.#leaseRenewedAt;
@@ -57,7 +62,7 @@
 	/** Notes that the lease has ended. The permission ends as well. */
 	noteLeaseEnded(): void {
 		this.#leaseRenewedAt = Number.NEGATIVE_INFINITY;
-		this.#validUntil = 0;
+		this.#validUntil = Number.NEGATIVE_INFINITY;
 	}
 
 	/**
@@ -81,7 +86,7 @@
 			return false;
 		}
 
-		this.#validUntil = 0;
+		this.#validUntil = Number.NEGATIVE_INFINITY;
 		this.#requestRenewal();
 		return true;
 	}
