Serve metrics and trace late and failed statements

Cause: a failed request left one line about its last attempt, and nothing told where a late one had spent its time; counters were missing. Change: one line for each failed or late statement with the wait, the attempts, the instance, the demanded position and the configuration; a registry of counters, histograms and sampled gauges as text on its own port.

--- a/packages/direct/src/connection/client-session.ts
+++ b/packages/direct/src/connection/client-session.ts
@@ -1,8 +1,10 @@
 import {TransactionStatus} from '@tarragonstack/core/request/transaction-status';
 import {type TimerService} from '@tarragonstack/core/time/timer-service';
 import {type EventLog} from '../process/event-log.js';
+import {type HostMetrics} from '../process/host-metrics.js';
 import {type InstanceGroupState} from '../process/instance-group-state.js';
 import {type SessionFloor} from '../request/freshness-ledger.js';
+import {createStatementTrace} from '../request/statement-trace.js';
 import {StatementErrorCode} from '../request/statement-error-code.js';
 import {StatementKind} from '../request/statement-kind.js';
 import {type StatementResult} from '../request/statement-result.js';
@@ -21,6 +23,7 @@
 	readonly timer: TimerService;
 	readonly log: EventLog;
 	readonly runner: StatementRunner;
+	readonly metrics: HostMetrics;
 	/** Returns the configuration in force, or `undefined` before one is known. */
 	getConfiguration(): DeploymentConfiguration | undefined;
 	/** Returns a group, or `undefined` if no configuration names it. */
@@ -61,6 +64,7 @@
 	#floorGroup = '';
 	#disposed = false;
 	#running = false;
+	#trace = createStatementTrace();
 
 	/**
 	 * @param database - Name under which the client looks for its route.
@@ -87,8 +91,12 @@
 		}
 
 		this.#running = true;
+		const startedAt = this.#services.timer.now();
+		this.#trace = createStatementTrace();
 		try {
-			return await this.#handlers[statement.kind](statement);
+			const result = await this.#handlers[statement.kind](statement);
+			this.#account(statement, result, startedAt);
+			return result;
 		} finally {
 			this.#running = false;
 			if (this.#disposed) {
@@ -97,6 +105,27 @@
 		}
 	}
 
+	/** Counts a statement that went to an instance, and logs it if it failed or was late. */
+	#account(statement: Statement, result: StatementResult, startedAt: number): void {
+		const route = this.#transaction?.route ?? this.#findRoute();
+		if (!route || (result.completion === '-' && !result.error)) {
+			return;
+		}
+
+		const {timer, metrics, log} = this.#services;
+		const durationMilliseconds = timer.now() - startedAt;
+		metrics.countStatement(route.priority, result.error?.code ?? 'completed', durationMilliseconds);
+		if (result.error || durationMilliseconds > route.targetMilliseconds) {
+			const {waitedMilliseconds, ...trace} = this.#trace;
+			log.write(result.error ? 'statement-failed' : 'statement-late', {
+				request: statement.identifier, kind: statement.kind, database: this.#database, group: route.group, rank: route.priority,
+				inTransaction: this.#transaction !== undefined, outcome: result.error?.code ?? 'completed', message: result.error?.message,
+				durationMilliseconds: Math.round(durationMilliseconds), waitedMilliseconds: Math.round(waitedMilliseconds),
+				configurationVersion: this.#services.getConfiguration()?.version, ...trace,
+			});
+		}
+	}
+
 	/** Rolls back a transaction that has been idle for too long. Called at a fixed interval. */
 	sweep(now: number, idleTransactionMilliseconds: number): void {
 		const transaction = this.#transaction;
@@ -210,7 +239,7 @@
 		}
 
 		const {result, reign} = await this.#services.runner.run({
-			statement, route, group, context: {values: this.#values}, arrivedAt: this.#services.timer.now(),
+			statement, route, group, context: {values: this.#values}, arrivedAt: this.#services.timer.now(), trace: this.#trace,
 			...(definition && {definition}), ...this.#getFloor(route),
 		});
 		if (!result.error && reign !== undefined && isWrite(statement, definition)) {
@@ -228,7 +257,7 @@
 		}
 
 		const {result, held} = await this.#services.runner.run({
-			statement, begin: mode, route, group, context: {values: this.#values}, arrivedAt: beganAt,
+			statement, begin: mode, route, group, context: {values: this.#values}, arrivedAt: beganAt, trace: this.#trace,
 			...(definition && {definition}), ...this.#getFloor(route),
 		});
 		if (held) {
@@ -249,6 +278,8 @@
 			}
 
 			const startedAt = timer.now();
+			this.#trace.attempts++;
+			this.#trace.instance = pool.instance.id;
 			pool.noteSent(connection);
 			const outcome = await runStatement(
 				connection,
--- a/packages/direct/src/connection/instance-pool.ts
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -1,5 +1,6 @@
 import {type TimerService} from '@tarragonstack/core/time/timer-service';
 import {type EventLog} from '../process/event-log.js';
+import {type HostMetrics} from '../process/host-metrics.js';
 import {type InstanceEntry} from '../process/instance-entry.js';
 import {CongestionWindow} from '../request/congestion-window.js';
 import {compareWaiting, type WaitingRequest} from '../request/waiting-request.js';
@@ -51,6 +52,7 @@
 	readonly #dialer: UpstreamDialer;
 	readonly #timer: TimerService;
 	readonly #log: EventLog;
+	readonly #metrics: HostMetrics;
 	#maximumConnections: number;
 	readonly #idle: PooledConnection[] = [];
 	readonly #busy = new Map<PooledConnection, number>();
@@ -73,11 +75,12 @@
 	 * @param dialer - Opens the connections.
 	 * @param options - Services and the greatest number of connections.
 	 */
-	constructor(instance: InstanceEntry, dialer: UpstreamDialer, options: {timer: TimerService; log: EventLog; maximumConnections: number}) {
+	constructor(instance: InstanceEntry, dialer: UpstreamDialer, options: {timer: TimerService; log: EventLog; metrics: HostMetrics; maximumConnections: number}) {
 		this.instance = instance;
 		this.#dialer = dialer;
 		this.#timer = options.timer;
 		this.#log = options.log;
+		this.#metrics = options.metrics;
 		this.#maximumConnections = options.maximumConnections;
 		this.#lastHeardAt = options.timer.now();
 	}
@@ -170,6 +173,7 @@
 		if (durationMilliseconds !== undefined) {
 			this.#serviceTime += serviceTimeWeight * (durationMilliseconds - this.#serviceTime);
 			this.#window.add(durationMilliseconds);
+			this.#metrics.countInstanceResponse(this.instance.group, this.instance.id, durationMilliseconds);
 		}
 
 		// A transaction that rests between its statements leaves its place to others.
@@ -359,6 +363,7 @@
 		this.#unansweredSince ??= startedAt;
 		const outcome = await this.#dialer.dial(this.instance, dialTimeoutMilliseconds);
 		this.#dialing.delete(attempt);
+		this.#metrics.countConnection(this.instance.group, outcome.isOk() ? 'opened' : outcome.error.failure);
 		if (outcome.isErr()) {
 			this.#handleDialFailure(outcome.error, startedAt);
 			return;
--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -1,4 +1,4 @@
-import {compareLogPositions, type LogPosition} from '@tarragonstack/core/request/log-position';
+import {compareLogPositions, formatLogPosition, type LogPosition} from '@tarragonstack/core/request/log-position';
 import {TransactionStatus} from '@tarragonstack/core/request/transaction-status';
 import {type TimerService} from '@tarragonstack/core/time/timer-service';
 import {type EventLog} from '../process/event-log.js';
@@ -11,6 +11,7 @@
 import {StatementKind} from '../request/statement-kind.js';
 import {type StatementResult} from '../request/statement-result.js';
 import {type PreparedDefinition, type Statement} from '../request/statement.js';
+import {type StatementTrace} from '../request/statement-trace.js';
 import {type WaitingRequest} from '../request/waiting-request.js';
 import {type Route} from '../version/deployment-configuration.js';
 import {AcquireFailure, type InstancePool} from './instance-pool.js';
@@ -52,6 +53,7 @@
 	readonly floor?: SessionFloor;
 	/** Monotonic time at which the statement, or the beginning of its transaction, arrived. */
 	readonly arrivedAt: number;
+	readonly trace: StatementTrace;
 };
 
 /** Connection that a transaction holds. */
@@ -123,32 +125,36 @@
 			const minimumPosition = this.#getReplicaPosition(work);
 			if (minimumPosition === PositionNeed.Fresher) {
 				// The primary answers a status request sooner than a read, and its slots stay free for writes.
-				if (!(await this.#refresher.refresh(work.group))) {
-					await this.#waitForChange(work.group, request.deadline);
-				}
+				await this.#measureWait(work, async () => this.#refreshOrWait(work.group, request.deadline));
 
 				continue;
 			}
 
 			const target = this.#chooseTarget(work.group, minimumPosition, tried);
 			if (!target) {
-				await this.#waitForChange(work.group, request.deadline);
+				await this.#measureWait(work, async () => this.#waitForChange(work.group, request.deadline));
 				continue;
 			}
 
-			const connection = await target.pool.acquire(request, work.context);
+			const connection = await this.#measureWait(work, async () => target.pool.acquire(request, work.context));
 			if (typeof connection === 'string') {
 				tried.add(target.pool);
 				reason = connection === AcquireFailure.Expired ? 'no connection became free in time' : 'the instance is not reachable';
 				if (target.reign !== undefined) {
 					tried.clear();
-					await this.#waitForChange(work.group, request.deadline);
+					await this.#measureWait(work, async () => this.#waitForChange(work.group, request.deadline));
 				}
 
 				continue;
 			}
 
 			attempts++;
+			work.trace.attempts++;
+			work.trace.instance = target.pool.instance.id;
+			if (target.minimumPosition) {
+				work.trace.minimumPosition = formatLogPosition(target.minimumPosition);
+			}
+
 			const attempt = await this.#attempt(work, target, connection, request.deadline);
 			if (attempt.outcome) {
 				return attempt.outcome;
@@ -157,14 +163,11 @@
 			tried.add(target.pool);
 			if (target.reign !== undefined) {
 				tried.clear();
-				await this.#waitForChange(work.group, request.deadline);
+				await this.#measureWait(work, async () => this.#waitForChange(work.group, request.deadline));
 			}
 		}
 
-		this.#log.write('statement-refused', {
-			request: work.statement.identifier, group: work.group.name, priority: work.route.priority,
-			waitedMilliseconds: Math.round(this.#timer.now() - work.arrivedAt), reason,
-		});
+		work.trace.reason ??= reason;
 		return {result: createError(StatementErrorCode.Overloaded, `${reason}; retry after ${retryPauseMilliseconds * 5} ms`)};
 	}
 
@@ -294,6 +297,7 @@
 			return {outcome: {result: {...result, status}}};
 		}
 
+		work.trace.reason = code;
 		if (code === StatementErrorCode.Behind) {
 			this.#noteLag(target);
 		}
@@ -312,6 +316,19 @@
 		}
 	}
 
+	async #refreshOrWait(group: InstanceGroupState, deadline: number): Promise<void> {
+		if (!(await this.#refresher.refresh(group))) {
+			await this.#waitForChange(group, deadline);
+		}
+	}
+
+	async #measureWait<Value>({trace}: FirstStatement, wait: () => Promise<Value>): Promise<Value> {
+		const startedAt = this.#timer.now();
+		const value = await wait();
+		trace.waitedMilliseconds += this.#timer.now() - startedAt;
+		return value;
+	}
+
 	async #waitForChange(group: InstanceGroupState, deadline: number): Promise<void> {
 		const now = this.#timer.now();
 		const abort = new AbortController();
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -12,10 +12,12 @@
 import {FleetView} from './fleet-view.js';
 import {parseGroupRecord, type GroupRecord} from './group-record.js';
 import {HostRegistration} from './host-registration.js';
+import {HostMetrics, type GroupSample, type InstanceSample} from './host-metrics.js';
 import {type InstanceEntry} from './instance-entry.js';
 import {InstanceGroupState, missingInstanceMilliseconds} from './instance-group-state.js';
 import {type PlatformFormats} from './platform-formats.js';
 import {LeaseKeeper} from './lease-keeper.js';
+import {MeteredStore} from './metered-store.js';
 import {PrimaryAuthority} from './primary-authority.js';
 import {PromotionCoordinator} from './promotion-coordinator.js';
 import {type PromotionService} from './promotion-service.js';
@@ -55,6 +57,7 @@
 /** One host of the fleet: it follows the shared store, knows the groups and runs the statements of its sessions. */
 export class DirectHost implements StoreListener, AsyncDisposable {
 	readonly #options: DirectHostOptions;
+	readonly #metrics = new HostMetrics();
 	readonly #groups = new Map<string, InstanceGroupState>();
 	/** Entries of instances whose group no configuration names yet. */
 	readonly #entries = new Map<string, InstanceEntry>();
@@ -77,7 +80,8 @@
 	 * @param options - Identity of the host and its services.
 	 */
 	constructor(options: DirectHostOptions) {
-		const {timer, log, store, hostName, availabilityZone, incarnation, peerAddress} = options;
+		const {timer, log, hostName, availabilityZone, incarnation, peerAddress} = options;
+		const store = new MeteredStore(options.store, this.#metrics);
 		this.#options = options;
 		this.#fleet = new FleetView(log);
 		this.#registration = new HostRegistration({
@@ -93,7 +97,7 @@
 			readFleet: async () => this.#follower.read(fleetPrefix),
 		});
 		this.#coordinator = new PromotionCoordinator({
-			...options, registration: this.#registration, fleet: this.#fleet, getGroups: () => this.#groups.values(),
+			...options, store, metrics: this.#metrics, registration: this.#registration, fleet: this.#fleet, getGroups: () => this.#groups.values(),
 			isStoreAvailable: () => this.#follower.isAvailable,
 			readFleet: async () => this.#follower.read(fleetPrefix),
 		});
@@ -117,6 +121,25 @@
 		return this.#options.timer.now() - this.#authority.renewedAt > isolatedMilliseconds;
 	}
 
+	/** Renders the metrics of the host as text. */
+	async renderMetrics(): Promise<string> {
+		const now = this.#options.timer.now();
+		const groups = [...this.#groups.values()];
+		return this.#metrics.render({
+			sessions: this.#sessions.size,
+			configurationVersion: this.#configuration?.version ?? 0,
+			isAuthorized: this.#authority.isValid(),
+			isReady: this.isReady,
+			groups: groups.map(({name, record, ledger}): GroupSample => ({
+				group: name, primary: record?.primary ?? '', term: record?.term ?? 0,
+				positionAgeMilliseconds: ledger.newestSentAt === undefined ? undefined : now - ledger.newestSentAt,
+			})),
+			instances: groups.flatMap(({name, instances}) => [...instances].map(([id, {pool}]): InstanceSample => ({
+				group: name, instance: id, waiting: pool.load, serviceTimeMilliseconds: pool.serviceTime, silenceMilliseconds: pool.getSilence(now),
+			}))),
+		});
+	}
+
 	/** Begins to follow the store and to check time limits. */
 	start(): void {
 		this.#follower.start();
@@ -134,7 +157,7 @@
 
 		const {timer, log} = this.#options;
 		const session = new ClientSession(database, {
-			timer, log, runner: this.#runner,
+			timer, log, runner: this.#runner, metrics: this.#metrics,
 			getConfiguration: () => this.#configuration,
 			getGroup: name => this.#groups.get(name),
 		});
@@ -281,7 +304,7 @@
 			known.pool.instance = entry;
 		} else {
 			known?.pool[Symbol.dispose]();
-			const pool = new InstancePool(entry, dialer, {timer, log, maximumConnections: this.#getShare(entry.group)});
+			const pool = new InstancePool(entry, dialer, {timer, log, metrics: this.#metrics, maximumConnections: this.#getShare(entry.group)});
 			group.instances.set(entry.id, {pool});
 			pool.warmUp();
 		}
--- a/packages/direct/src/process/promotion-coordinator.ts
+++ b/packages/direct/src/process/promotion-coordinator.ts
@@ -8,6 +8,7 @@
 import {type EventLog} from './event-log.js';
 import {GroupPhase, type GroupRecord, type VersionedGroupRecord} from './group-record.js';
 import {type FleetView} from './fleet-view.js';
+import {type HostMetrics} from './host-metrics.js';
 import {type HostRegistration} from './host-registration.js';
 import {InstanceRole} from './instance-entry.js';
 import {type InstanceGroupState, type KnownInstance} from './instance-group-state.js';
@@ -69,6 +70,7 @@
 	readonly log: EventLog;
 	readonly dialer: UpstreamDialer;
 	readonly promotions: PromotionService;
+	readonly metrics: HostMetrics;
 	readonly registration: HostRegistration;
 	readonly fleet: FleetView;
 	/** Returns all groups. */
@@ -332,6 +334,7 @@
 		}
 
 		const answer = await promotions.promote({group: group.name, instance: id, holder: hostName, fencingToken: duty.fencingToken}, callTimeoutMilliseconds);
+		this.#options.metrics.countPromotion(answer.isOk() ? answer.value : 'unanswered');
 		log.write('promotion-ordered', {group: group.name, instance: id, fencingToken: duty.fencingToken, outcome: answer.isOk() ? answer.value : answer.error});
 		if (answer.isOk() && answer.value === PromotionAnswer.InstanceNotRunning) {
 			return;
--- a/packages/direct/src/request/freshness-ledger.ts
+++ b/packages/direct/src/request/freshness-ledger.ts
@@ -29,6 +29,11 @@
 	#observations: Observation[] = [];
 	#reign = 0;
 
+	/** Monotonic time of the newest observation, or `undefined` if there is none. */
+	get newestSentAt(): number | undefined {
+		return this.#observations.at(-1)?.sentAt;
+	}
+
 	/**
 	 * Records a position of the primary.
 	 *
--- a/packages/direct/src/request/index.ts
+++ b/packages/direct/src/request/index.ts
@@ -9,5 +9,6 @@
 export * from './statement-error-code.js';
 export * from './statement-kind.js';
 export * from './statement-result.js';
+export * from './statement-trace.js';
 export * from './suspicion.js';
 export * from './waiting-request.js';
