Begin a new watch when the store answers again

The watches that were under way, and those begun 0.2 s before its return, were never answered and timed out after 4 s each, so six hosts learnt at 10.5 s of a configuration that was acknowledged at 6.5 s; 3 s are permitted. The record of a host whose lease was ended and that has not registered again is removed after 13 s.

--- a/packages/core/src/adapters/shared-store.ts
+++ b/packages/core/src/adapters/shared-store.ts
@@ -77,8 +77,9 @@
 	 * @param prefix - Start of the keys.
 	 * @param afterRevision - Changes up to this revision are not reported.
 	 * @param waitMilliseconds - Time after which the call returns without changes.
+	 * @param signal - Gives the call up.
 	 */
-	waitForChanges(prefix: string, afterRevision: number, waitMilliseconds: number): Promise<Result<StoreChanges, StoreError>>;
+	waitForChanges(prefix: string, afterRevision: number, waitMilliseconds: number, signal?: AbortSignal): Promise<Result<StoreChanges, StoreError>>;
 
 	/**
 	 * Changes several keys under conditions.
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -95,6 +95,9 @@
 		this.#leaseKeeper = new LeaseKeeper({
 			store, timer, log, registration: this.#registration, authority: this.#authority,
 			readFleet: async () => this.#follower.read(fleetPrefix),
+			handleStoreRegained: () => {
+				this.#follower.restartWatch();
+			},
 		});
 		this.#coordinator = new PromotionCoordinator({
 			...options, store, metrics: this.#metrics, registration: this.#registration, fleet: this.#fleet, getGroups: () => this.#groups.values(),
--- a/packages/direct/src/process/lease-keeper.ts
+++ b/packages/direct/src/process/lease-keeper.ts
@@ -25,6 +25,8 @@
 	readonly authority: PrimaryAuthority;
 	/** Reads the records of the fleet; returns whether the store answered. */
 	readFleet(): Promise<boolean>;
+	/** Called when the store answers a renewal again after one that it did not answer. */
+	handleStoreRegained(): void;
 };
 
 /**
@@ -92,7 +94,8 @@
 
 	/** Renews a lease until it has ended. */
 	async #renew(lease: number): Promise<void> {
-		const {store, timer, registration, authority} = this.#options;
+		const {store, timer, registration, authority, handleStoreRegained} = this.#options;
+		let hasFailed = false;
 		while (!this.#abort.signal.aborted) {
 			this.#wake = new AbortController();
 			const requestedAt = timer.now();
@@ -107,8 +110,13 @@
 
 			if (outcome.isOk()) {
 				authority.noteLeaseRenewed(requestedAt);
+				if (hasFailed) {
+					handleStoreRegained();
+				}
 			}
 
+			hasFailed = outcome.isErr();
+
 			await timer.sleep(outcome.isOk() ? renewalIntervalMilliseconds : failurePauseMilliseconds, this.#wake.signal);
 		}
 	}
--- a/packages/direct/src/process/metered-store.ts
+++ b/packages/direct/src/process/metered-store.ts
@@ -24,8 +24,8 @@
 	}
 
 	/** @inheritdoc */
-	async waitForChanges(prefix: string, afterRevision: number, waitMilliseconds: number): Promise<Result<StoreChanges, StoreError>> {
-		return this.#count('watch', this.#store.waitForChanges(prefix, afterRevision, waitMilliseconds));
+	async waitForChanges(prefix: string, afterRevision: number, waitMilliseconds: number, signal?: AbortSignal): Promise<Result<StoreChanges, StoreError>> {
+		return this.#count('watch', this.#store.waitForChanges(prefix, afterRevision, waitMilliseconds, signal));
 	}
 
 	/** @inheritdoc */
--- a/packages/direct/src/process/promotion-coordinator.ts
+++ b/packages/direct/src/process/promotion-coordinator.ts
@@ -15,7 +15,7 @@
 import {witnessedMilliseconds} from './authority-witness.js';
 import {authorityMarginMilliseconds, authorityMilliseconds} from './primary-authority.js';
 import {PromotionAnswer, type PromotionService} from './promotion-service.js';
-import {groupPrefix, promoterKey} from './store-keys.js';
+import {groupPrefix, hostPrefix, promoterKey} from './store-keys.js';
 
 /** Time that a call to the store or to the promotion service may take, in milliseconds. */
 const callTimeoutMilliseconds = 1000;
@@ -485,13 +485,38 @@
 		}
 	}
 
+	/**
+	 * Removes the record of a host that has not registered again since its lease was ended: it is gone for good, and each
+	 * further change would wait for it. Until then a host without access to the store may count it for its majority.
+	 */
+	#removeLater(name: string, revision: number): void {
+		const {timer, fleet, store, log} = this.#options;
+		timer.schedule(witnessedMilliseconds + authorityMilliseconds, () => {
+			if (fleet.hosts.get(name)?.revision !== revision) {
+				return;
+			}
+
+			const key = `${hostPrefix}${name}`;
+			void (async () => {
+				const outcome = await store.commit({expected: [{key, revision}], writes: [], removals: [key]}, callTimeoutMilliseconds);
+				log.write('host-removed', {host: name, outcome: outcome.isOk() ? String(outcome.value.committed) : outcome.error.message});
+			})();
+		});
+	}
+
 	/** Ends the lease of a host that has not confirmed, and notes when. */
 	async #endLease(name: string, endedAt: Map<string, number>): Promise<void> {
 		const {store, timer, fleet} = this.#options;
-		const lease = fleet.hosts.get(name)?.record.lease ?? 0;
+		const host = fleet.hosts.get(name);
+		const lease = host?.record.lease ?? 0;
 		const outcome = lease === 0 ? undefined : await store.endLease(lease, callTimeoutMilliseconds);
-		if (!outcome?.isErr()) {
-			endedAt.set(name, timer.now());
+		if (outcome?.isErr()) {
+			return;
+		}
+
+		endedAt.set(name, timer.now());
+		if (host && lease !== 0) {
+			this.#removeLater(name, host.revision);
 		}
 	}
 
--- a/packages/direct/src/process/store-follower.ts
+++ b/packages/direct/src/process/store-follower.ts
@@ -9,7 +9,7 @@
  * Longest time that a watch stays open without changes, in milliseconds. Each watch is one priced call; a watch whose
  * connection went silent is noticed after this time, before a change of the configuration is overdue.
  */
-const watchMilliseconds = 2500;
+const watchMilliseconds = 2000;
 
 /** Pause after a failed call, in milliseconds. Failed calls are priced as well. */
 const failurePauseMilliseconds = 250;
@@ -37,6 +37,7 @@
 	readonly #options: StoreFollowerOptions;
 	readonly #revisions = new Map<string, number>();
 	readonly #abort = new AbortController();
+	#watchAbort = new AbortController();
 	#watchedRevision = 0;
 	#isAvailable = true;
 	#hasSnapshot = false;
@@ -61,6 +62,7 @@
 	/** Ends the calls that would follow. */
 	stop(): void {
 		this.#abort.abort();
+		this.#watchAbort.abort();
 	}
 
 	/**
@@ -89,7 +91,8 @@
 				continue;
 			}
 
-			const outcome = await store.waitForChanges('', this.#watchedRevision, watchMilliseconds);
+			this.#watchAbort = new AbortController();
+			const outcome = await store.waitForChanges('', this.#watchedRevision, watchMilliseconds, this.#watchAbort.signal);
 			if (outcome.isOk()) {
 				this.#noteAvailable(true, '');
 				this.#apply(outcome.value.changes);
@@ -97,13 +100,18 @@
 			} else if (outcome.error.failure === StoreFailure.HistoryGone) {
 				this.#options.log.write('store-history-gone', {revision: this.#watchedRevision});
 				this.#hasSnapshot = false;
-			} else {
+			} else if (!this.#watchAbort.signal.aborted) {
 				this.#noteAvailable(false, outcome.error.message);
 				await timer.sleep(failurePauseMilliseconds, this.#abort.signal);
 			}
 		}
 	}
 
+	/** Begins a new watch, because the store was away: a call that was under way then may never be answered. */
+	restartWatch(): void {
+		this.#watchAbort.abort();
+	}
+
 	async #readSnapshot(): Promise<boolean> {
 		const outcome = await this.#options.store.readRange('', callTimeoutMilliseconds);
 		if (outcome.isErr()) {
--- a/packages/direct/tests/fleet/consistency.test.ts
+++ b/packages/direct/tests/fleet/consistency.test.ts
@@ -185,4 +185,26 @@
 		await fleet.timer.advance(3000);
 		expect(fleet.hosts.every(({host}) => host.openSession('later') && !host.openSession('added'))).toBe(true);
 	});
+
+	// Guards against a watch that hangs since an outage and hides the changes after it (edredon-counter hunt-1c3e-15).
+	it.each([0, 400, 900, 1700, 2600])('is followed at once after an outage of the store that began %i ms into a watch', async delay => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		await fleet.timer.advance(delay);
+		for (const {store} of fleet.hosts) {
+			store.isCut = true;
+		}
+
+		await fleet.timer.advance(3700);
+		for (const {store} of fleet.hosts) {
+			store.isCut = false;
+		}
+
+		fleet.putConfiguration(5, ['added']);
+		await fleet.timer.advance(1500);
+		expect(fleet.hosts.every(({host}) => host.openSession('added'))).toBe(true);
+		fleet.putConfiguration(6, ['later']);
+		await fleet.timer.advance(1000);
+		expect(fleet.hosts.every(({host}) => host.openSession('later'))).toBe(true);
+	});
 });
--- a/packages/direct/tests/fleet/fake-store.ts
+++ b/packages/direct/tests/fleet/fake-store.ts
@@ -8,6 +8,9 @@
 /** Time that a call takes, in milliseconds. */
 const callMilliseconds = 4;
 
+/** Time beyond its wait after which the caller of a lost watch gives up, in milliseconds. */
+const lostCallMilliseconds = 600;
+
 /** Items and leases that all hosts of a test share. */
 export class FakeStoreState {
 	readonly items = new Map<string, StoreItem>();
@@ -46,8 +49,9 @@
 
 /** Access of one host to the shared state. It can be cut, and the replies of writes can be lost. */
 export class FakeStore implements SharedStore {
-	isCut = false;
 	losesReplies = false;
+	#isCut = false;
+	#cuts = 0;
 	/** Calls by name. */
 	readonly calls = new Map<string, number>();
 	readonly #state: FakeStoreState;
@@ -58,21 +62,36 @@
 		this.#timer = timer;
 	}
 
+	/** Whether calls get no answer. Calls that are under way when a cut begins get none either. */
+	get isCut(): boolean {
+		return this.#isCut;
+	}
+
+	set isCut(value: boolean) {
+		this.#isCut = value;
+		this.#cuts += Number(value);
+	}
+
 	async readRange(prefix: string, timeoutMilliseconds: number): Promise<Result<StoreSnapshot, StoreError>> {
 		return this.#call('readRange', timeoutMilliseconds, () => ok({
 			items: [...this.#state.items.values()].filter(({key}) => key.startsWith(prefix)), revision: this.#state.revision,
 		}));
 	}
 
-	async waitForChanges(prefix: string, afterRevision: number, waitMilliseconds: number): Promise<Result<StoreChanges, StoreError>> {
+	async waitForChanges(prefix: string, afterRevision: number, waitMilliseconds: number, signal?: AbortSignal): Promise<Result<StoreChanges, StoreError>> {
 		if (afterRevision < this.#state.forgottenRevision) {
 			return this.#call('watch', waitMilliseconds, () => err({failure: StoreFailure.HistoryGone, verdict: Verdict.NotRun, message: 'gone'}));
 		}
 
+		const cutsBefore = this.#cuts;
+		const isLost = this.isCut;
 		const find = () => this.#state.history.filter(change => change.revision > afterRevision && change.key.startsWith(prefix));
 		const abort = new AbortController();
+		signal?.addEventListener('abort', () => {
+			abort.abort();
+		});
 		const listener = () => {
-			if (!this.isCut) {
+			if (!isLost && this.#cuts === cutsBefore) {
 				abort.abort();
 			}
 		};
@@ -83,6 +102,12 @@
 		}
 
 		this.#state.listeners.delete(listener);
+		if (isLost || this.#cuts !== cutsBefore) {
+			// The caller's own time limit ends such a call.
+			await this.#timer.sleep(lostCallMilliseconds, signal);
+			return err(createUnavailable(Verdict.NotRun));
+		}
+
 		return this.#call('watch', waitMilliseconds, () => ok({changes: find(), revision: this.#state.revision}));
 	}
 
--- a/packages/direct/tests/fleet/promotion.test.ts
+++ b/packages/direct/tests/fleet/promotion.test.ts
@@ -175,6 +175,35 @@
 		}
 	});
 
+	// Guards against changes that wait again and again for a host that is gone for good.
+	it('removes the record of a host that has vanished, and waits for it no more', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const vanished = fleet.hosts.pop()!;
+		vanished.store.isCut = true;
+		for (const other of fleet.hosts) {
+			other.cutFrom.add(vanished.name);
+			vanished.cutFrom.add(other.name);
+		}
+
+		const durations: unknown[] = [];
+		for (let round = 0; round < 2; round++) {
+			const writers = fleet.startWriters();
+			const leader = fleet.getLeader();
+			fleet.putInstance({...fleet.group.get(leader).entry, leaving: true});
+			await fleet.timer.advance(4000);
+			fleet.putInstance({...fleet.group.get(leader).entry, leaving: false});
+			writers.stop();
+			await fleet.timer.advance(12_000);
+			durations.push(...fleet.getEvents('change-settled').slice(round).map(({fields}) => fields['durationMilliseconds']));
+		}
+
+		expect(durations).toHaveLength(2);
+		expect(Number(durations[0])).toBeGreaterThan(1800);
+		expect(Number(durations[1])).toBeLessThan(1400);
+		expect(fleet.state.items.has(`fleet/host/${vanished.name}`)).toBe(false);
+	});
+
 	// Guards against work for a primary that is about to stop, and against commits lost by a planned change.
 	it('moves away from a primary that leaves without losing a commit', async () => {
 		const fleet = new FakeFleet();
