Split the replacement of a primary into its parts

Change: PromotionCoordinator decides, PrimaryChange runs one attempt, ConfirmationWait waits for the hosts; the order is held back when the process stood still after its last proof of the duty. A connection whose alignment failed is closed. The linter's findings are fixed.

--- a/packages/core/src/adapters/shared-store.ts
+++ b/packages/core/src/adapters/shared-store.ts
@@ -11,9 +11,9 @@
 };
 
 /** Change of the store: an item as it was written, or the removal of a key. */
-export type StoreChange =
-	| ({readonly removed: false} & StoreItem)
-	| {readonly removed: true; readonly key: string; readonly revision: number};
+export type StoreChange
+	= | ({readonly removed: false} & StoreItem)
+		| {readonly removed: true; readonly key: string; readonly revision: number};
 
 /** Reasons why a call to the store failed. */
 export enum StoreFailure {
@@ -56,10 +56,10 @@
 };
 
 /** Outcome of a transaction that was answered. */
-export type StoreTransactionOutcome =
-	| {readonly committed: true; readonly revision: number}
+export type StoreTransactionOutcome
+	= | {readonly committed: true; readonly revision: number}
 	/** Current items of the expected keys; keys that do not exist are missing. */
-	| {readonly committed: false; readonly current: readonly StoreItem[]};
+		| {readonly committed: false; readonly current: readonly StoreItem[]};
 
 /** Linearizable store of the platform that all hosts share. */
 export type SharedStore = {
--- a/packages/direct/src/connection/client-codec.ts
+++ b/packages/direct/src/connection/client-codec.ts
@@ -14,12 +14,12 @@
 }
 
 /** Message of a client. */
-export type ClientMessage =
-	| {readonly kind: ClientMessageKind.Startup; readonly database: string}
-	| {readonly kind: ClientMessageKind.Statement; readonly statement: Statement}
-	| {readonly kind: ClientMessageKind.InvalidStatement; readonly message: string}
-	| {readonly kind: ClientMessageKind.Unreadable; readonly code: StatementErrorCode; readonly message: string}
-	| {readonly kind: ClientMessageKind.Terminate};
+export type ClientMessage
+	= | {readonly kind: ClientMessageKind.Startup; readonly database: string}
+		| {readonly kind: ClientMessageKind.Statement; readonly statement: Statement}
+		| {readonly kind: ClientMessageKind.InvalidStatement; readonly message: string}
+		| {readonly kind: ClientMessageKind.Unreadable; readonly code: StatementErrorCode; readonly message: string}
+		| {readonly kind: ClientMessageKind.Terminate};
 
 /** Codec of one client connection. */
 export type ClientCodec = {
--- a/packages/direct/src/connection/client-session.ts
+++ b/packages/direct/src/connection/client-session.ts
@@ -105,17 +105,37 @@
 		}
 	}
 
+	/** Rolls back a transaction that has been idle for too long. Called at a fixed interval. */
+	sweep(now: number, idleTransactionMilliseconds: number): void {
+		const transaction = this.#transaction;
+		if (transaction?.held && !this.#running && now - transaction.lastUsedAt > idleTransactionMilliseconds) {
+			this.#services.log.write('transaction-idle', {group: transaction.route.group, idleMilliseconds: Math.round(now - transaction.lastUsedAt)});
+			this.#abandonHeld(transaction);
+			transaction.failed = true;
+		}
+	}
+
+	/** Rolls back an open transaction, because the client left. */
+	[Symbol.dispose](): void {
+		this.#disposed = true;
+		if (!this.#running) {
+			this.#endTransaction();
+		}
+	}
+
 	/** Counts a statement that went to an instance, and logs it if it failed or was late. */
 	#account(statement: Statement, result: StatementResult, startedAt: number): void {
 		const route = this.#transaction?.route ?? this.#findRoute();
-		if (!route || (result.completion === '-' && !result.error)) {
+		const isLocal = result.completion === '-' && !result.error;
+		if (!route || isLocal) {
 			return;
 		}
 
 		const {timer, metrics, log} = this.#services;
 		const durationMilliseconds = timer.now() - startedAt;
 		metrics.countStatement(route.priority, result.error?.code ?? 'completed', durationMilliseconds);
-		if (result.error || durationMilliseconds > route.targetMilliseconds) {
+		const isLate = durationMilliseconds > route.targetMilliseconds;
+		if (result.error ?? isLate) {
 			const {waitedMilliseconds, ...trace} = this.#trace;
 			log.write(result.error ? 'statement-failed' : 'statement-late', {
 				request: statement.identifier, kind: statement.kind, database: this.#database, group: route.group, rank: route.priority,
@@ -126,24 +146,6 @@
 		}
 	}
 
-	/** Rolls back a transaction that has been idle for too long. Called at a fixed interval. */
-	sweep(now: number, idleTransactionMilliseconds: number): void {
-		const transaction = this.#transaction;
-		if (transaction?.held && !this.#running && now - transaction.lastUsedAt > idleTransactionMilliseconds) {
-			this.#services.log.write('transaction-idle', {group: transaction.route.group, idleMilliseconds: Math.round(now - transaction.lastUsedAt)});
-			this.#abandonHeld(transaction);
-			transaction.failed = true;
-		}
-	}
-
-	/** Rolls back an open transaction, because the client left. */
-	[Symbol.dispose](): void {
-		this.#disposed = true;
-		if (!this.#running) {
-			this.#endTransaction();
-		}
-	}
-
 	#setValue({name, value}: Statement): StatementResult {
 		this.#values.set(name!, value!);
 		return this.#createLocalResult();
--- a/packages/direct/src/connection/datagram-transport.ts
+++ b/packages/direct/src/connection/datagram-transport.ts
@@ -4,6 +4,9 @@
 
 /** Sends messages between hosts. Messages may be lost. */
 export type PeerTransport = {
+	/** Receiver of messages; the value is not validated. */
+	onMessage: ((message: unknown, from: string) => void) | undefined;
+
 	/**
 	 * Sends a message.
 	 *
@@ -11,8 +14,6 @@
 	 * @param message - Plain value.
 	 */
 	send(address: string, message: unknown): void;
-	/** Receiver of messages; the value is not validated. */
-	onMessage: ((message: unknown, from: string) => void) | undefined;
 };
 
 /** Transport of one CBOR value per UDP datagram. */
--- a/packages/direct/src/connection/instance-pool.ts
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -106,7 +106,7 @@
 	}
 
 	/** Changes the greatest number of connections; connections above it are closed when they are returned. */
-	set maximumConnections(value: number) {
+	setMaximumConnections(value: number): void {
 		this.#maximumConnections = value;
 	}
 
--- a/packages/direct/src/connection/pooled-connection.ts
+++ b/packages/direct/src/connection/pooled-connection.ts
@@ -15,8 +15,8 @@
 	readonly channel: UpstreamChannel;
 	/** Monotonic time of the last use. */
 	idleSince = 0;
-	#values = new Map<string, string>();
-	#prepared = new Set<string>();
+	readonly #values = new Map<string, string>();
+	readonly #prepared = new Set<string>();
 
 	/**
 	 * @param channel - New connection that holds nothing yet.
--- a/packages/direct/src/connection/run-statement.ts
+++ b/packages/direct/src/connection/run-statement.ts
@@ -13,11 +13,11 @@
 }
 
 /** Outcome of a statement on a connection. */
-export type StatementOutcome =
+export type StatementOutcome
 	/** `error` is missing if the connection failed. */
-	| {readonly progress: Progress.NotSent; readonly message: string; readonly error?: StatementError}
-	| {readonly progress: Progress.Unanswered; readonly message: string; readonly sentAt: number}
-	| {readonly progress: Progress.Answered; readonly result: StatementResult; readonly sentAt: number};
+	= | {readonly progress: Progress.NotSent; readonly message: string; readonly error?: StatementError}
+		| {readonly progress: Progress.Unanswered; readonly message: string; readonly sentAt: number}
+		| {readonly progress: Progress.Answered; readonly result: StatementResult; readonly sentAt: number};
 
 /**
  * Runs the statements that prepare a connection, and then a statement of a client.
--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -223,42 +223,51 @@
 		}
 
 		const position = minimumPosition && {minimumPosition};
-		const preamble: UpstreamStatement[] = connection.align(context, definition);
-		if (begin) {
-			preamble.push({begin, ...position});
-		}
-
-		const mayRepeat = begin !== undefined || statement.kind === StatementKind.Read || definition?.writes === false;
+		const alignment = connection.align(context, definition);
+		const preamble: UpstreamStatement[] = begin ? [...alignment, {begin, ...position}] : alignment;
 		const startedAt = this.#timer.now();
 		pool.noteSent(connection);
 		const outcome = await runStatement(
 			connection,
 			preamble,
 			{statement, ...(definition && {preparedName: getPreparedName(definition)}), ...(!begin && position)},
-			{timer: this.#timer, deadline: mayRepeat ? Math.min(deadline, startedAt + getReadSilence(pool)) : deadline},
+			{timer: this.#timer, deadline: mayRepeat(work) ? Math.min(deadline, startedAt + getReadSilence(pool)) : deadline},
 		);
 		if (outcome.progress === Progress.Answered) {
-			const {result, sentAt} = outcome;
-			pool.noteAnswered(connection, this.#timer.now() - sentAt);
-			if (reign !== undefined && !result.error && result.position) {
-				group.ledger.observe(reign, result.position, sentAt);
-			}
-
-			return result.error ? this.#handleError(work, target, connection, result) : this.#succeed(work, target, connection, result);
+			return this.#handleAnswer(work, target, connection, outcome);
 		}
 
 		if (outcome.progress === Progress.NotSent && outcome.error) {
 			pool.noteAnswered(connection);
+			if (alignment.length > 0) {
+				// It is not known which of the statements failed, and so what the connection holds.
+				connection.channel[Symbol.dispose]();
+			}
+
 			return this.#handleError(work, target, connection, createError(outcome.error.code, outcome.error.message));
 		}
 
 		connection.channel[Symbol.dispose]();
 		pool.release(connection);
+		return this.#handleUnanswered(work, target, outcome, startedAt);
+	}
+
+	#handleAnswer(work: FirstStatement, target: Target, connection: PooledConnection, {result, sentAt}: {result: StatementResult; sentAt: number}): Attempt {
+		target.pool.noteAnswered(connection, this.#timer.now() - sentAt);
+		if (target.reign !== undefined && !result.error && result.position) {
+			work.group.ledger.observe(target.reign, result.position, sentAt);
+		}
+
+		return result.error ? this.#handleError(work, target, connection, result) : this.#succeed(work, target, connection, result);
+	}
+
+	#handleUnanswered(work: FirstStatement, target: Target, {progress, message}: {progress: Progress; message: string}, startedAt: number): Attempt {
+		const isSent = progress === Progress.Unanswered;
 		this.#log.write('statement-unanswered', {
-			request: statement.identifier, group: group.name, instance: pool.instance.id, primary: reign !== undefined,
-			afterMilliseconds: Math.round(this.#timer.now() - startedAt), sent: outcome.progress === Progress.Unanswered, repeatable: mayRepeat, reason: outcome.message,
+			request: work.statement.identifier, group: work.group.name, instance: target.pool.instance.id, primary: target.reign !== undefined,
+			afterMilliseconds: Math.round(this.#timer.now() - startedAt), sent: isSent, repeatable: mayRepeat(work), reason: message,
 		});
-		return mayRepeat || outcome.progress === Progress.NotSent ? {} : {outcome: {result: createError(StatementErrorCode.OutcomeUnknown, outcome.message)}};
+		return isSent && !mayRepeat(work) ? {outcome: {result: createError(StatementErrorCode.OutcomeUnknown, message)}} : {};
 	}
 
 	#succeed(work: FirstStatement, target: Target, connection: PooledConnection, result: StatementResult): Attempt {
@@ -280,7 +289,7 @@
 	}
 
 	#handleError(work: FirstStatement, target: Target, connection: PooledConnection, result: StatementResult): Attempt {
-		const code = result.error!.code;
+		const {code} = (result.error!);
 		const action = actionOfErrorCode[code];
 		if (action === ErrorAction.ReplaceConnection) {
 			connection.channel[Symbol.dispose]();
@@ -339,6 +348,11 @@
 	}
 }
 
+/** Whether the statement may be sent again although it may have run: it reads, or its transaction ends with the connection. */
+function mayRepeat({begin, statement, definition}: FirstStatement): boolean {
+	return begin !== undefined || statement.kind === StatementKind.Read || definition?.writes === false;
+}
+
 function getReadSilence(pool: InstancePool): number {
 	return Math.min(maximumReadSilenceMilliseconds, Math.max(minimumReadSilenceMilliseconds, pool.serviceTime * readSilenceServiceTimes));
 }
--- a/packages/direct/src/connection/upstream-channel.ts
+++ b/packages/direct/src/connection/upstream-channel.ts
@@ -12,14 +12,14 @@
 }
 
 /** What can be sent to an instance. */
-export type UpstreamStatement =
+export type UpstreamStatement
 	/** A statement of a client, with the position that the log of the instance must hold. */
-	| {readonly statement: Statement; readonly minimumPosition?: LogPosition; readonly preparedName?: string}
+	= | {readonly statement: Statement; readonly minimumPosition?: LogPosition; readonly preparedName?: string}
 	/** Statement `Begin` or `BeginReadOnly` of the proxy. */
-	| {readonly begin: 'read-write' | 'read-only'; readonly minimumPosition?: LogPosition}
-	| {readonly command: SessionCommand}
-	| {readonly setValue: {readonly name: string; readonly value: string}}
-	| {readonly prepare: {readonly name: string; readonly definition: PreparedDefinition}};
+		| {readonly begin: 'read-write' | 'read-only'; readonly minimumPosition?: LogPosition}
+		| {readonly command: SessionCommand}
+		| {readonly setValue: {readonly name: string; readonly value: string}}
+		| {readonly prepare: {readonly name: string; readonly definition: PreparedDefinition}};
 
 /** Reasons why a channel gave no complete response. */
 export enum ChannelFailure {
--- a/packages/direct/src/process/authority-witness.ts
+++ b/packages/direct/src/process/authority-witness.ts
@@ -92,7 +92,7 @@
 		const {kind, number} = message as Partial<Question | Report>;
 		if (kind === 'question' && typeof number === 'number') {
 			this.#report(number, from);
-		} else if (kind === 'report' && number === this.#number) {
+		} else if (kind === 'report' && number === this.#number && isReport(message as Partial<Report>)) {
 			this.#handleReport(message as Report);
 		}
 	}
@@ -106,7 +106,7 @@
 
 	#handleReport({host, records}: Report): void {
 		const {handleRecord, log, fleet} = this.#options;
-		if (!fleet.hosts.has(host) || !Array.isArray(records)) {
+		if (!fleet.hosts.has(host)) {
 			return;
 		}
 
@@ -137,3 +137,8 @@
 		}
 	}
 }
+
+function isReport({host, records}: Partial<Report>): boolean {
+	return typeof host === 'string' && Array.isArray(records)
+		&& (records as ReadonlyArray<Partial<ReportedRecord>>).every(({group, revision, text}) => typeof group === 'string' && typeof revision === 'number' && typeof text === 'string');
+}
--- /dev/null
+++ b/packages/direct/src/process/confirmation-wait.ts
@@ -0,0 +1,170 @@
+import {isMajority} from '../request/majority.js';
+import {witnessedMilliseconds} from './authority-witness.js';
+import {type VersionedGroupRecord} from './group-record.js';
+import {type InstanceGroupState} from './instance-group-state.js';
+import {readInstanceStatus} from './instance-status.js';
+import {authorityMarginMilliseconds, authorityMilliseconds} from './primary-authority.js';
+import {callTimeoutMilliseconds, stepMilliseconds, type PromotionServices} from './promotion-services.js';
+import {hostPrefix} from './store-keys.js';
+
+/** Time for which hosts may confirm a change before their leases are ended, in milliseconds. */
+const promptConfirmationMilliseconds = 75;
+
+/** Pause before the records of the fleet are read again after the store did not answer, in milliseconds. */
+const retryPauseMilliseconds = 100;
+
+/** How a wait for confirmations ended. */
+export enum ConfirmationOutcome {
+	/** No host uses the primary any more. */
+	Released = 'released',
+	/** The primary answers again and the change may be given up. */
+	PrimaryAnswers = 'primary-answers',
+}
+
+/** Waits until no host uses a primary: each has confirmed the announced change, or its permission has run out. */
+export class ConfirmationWait {
+	readonly #services: PromotionServices;
+	readonly #group: InstanceGroupState;
+	readonly #announced: VersionedGroupRecord;
+	readonly #startedAt: number;
+	/** Monotonic times at which leases were ended, by host. */
+	readonly #leasesEndedAt = new Map<string, number>();
+	#awaited: string[] = [];
+	#majorityAt: number | undefined;
+	#hasPrimaryAnswered = false;
+	#isOver = false;
+
+	/**
+	 * @param services - Services.
+	 * @param group - Group whose primary changes.
+	 * @param announced - Announcement that hosts have to confirm.
+	 */
+	constructor(services: PromotionServices, group: InstanceGroupState, announced: VersionedGroupRecord) {
+		this.#services = services;
+		this.#group = group;
+		this.#announced = announced;
+		this.#startedAt = services.timer.now();
+	}
+
+	/**
+	 * Waits.
+	 *
+	 * @param mayGiveUp - Whether to return early when the primary answers again.
+	 */
+	async run(mayGiveUp: boolean): Promise<ConfirmationOutcome> {
+		const {timer, fleet, readFleet} = this.#services;
+		// Hosts that register after this read find the announcement in the records that they read afterwards.
+		while (!(await readFleet())) {
+			await timer.sleep(retryPauseMilliseconds);
+		}
+
+		this.#awaited = [...fleet.hosts.keys()];
+		if (mayGiveUp) {
+			void this.#watchPrimary();
+		}
+
+		for (;;) {
+			const missing = this.#findMissing();
+			if (missing.length === 0 || this.#hasPrimaryAnswered) {
+				this.#isOver = true;
+				this.#logExpiries();
+				return missing.length === 0 ? ConfirmationOutcome.Released : ConfirmationOutcome.PrimaryAnswers;
+			}
+
+			if (timer.now() - this.#startedAt >= promptConfirmationMilliseconds) {
+				await Promise.all(missing.filter(name => !this.#leasesEndedAt.has(name)).map(async name => this.#endLease(name)));
+			}
+
+			await timer.sleep(stepMilliseconds);
+		}
+	}
+
+	/** Returns the hosts that may still use the primary. A host without a record has no permission. */
+	#findMissing(): string[] {
+		const {timer, fleet} = this.#services;
+		const unconfirmed = this.#awaited.filter(name => {
+			const host = fleet.hosts.get(name);
+			return host !== undefined && host.record.confirmed[this.#group.name] !== this.#announced.changeIdentifier;
+		});
+		if (isMajority(this.#awaited.length - unconfirmed.length, this.#awaited.length)) {
+			this.#majorityAt ??= timer.now();
+		}
+
+		return unconfirmed.filter(name => timer.now() < this.#getExpiry(name));
+	}
+
+	/** Returns the monotonic time at which the permission of a host has run out. */
+	#getExpiry(name: string): number {
+		const endedAt = this.#leasesEndedAt.get(name);
+		if (endedAt === undefined) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		// Without a majority that obeys the change, others may have extended the host's permission in the meantime.
+		return authorityMarginMilliseconds + authorityMilliseconds + Math.min(
+			endedAt + witnessedMilliseconds,
+			Math.max(endedAt, this.#majorityAt ?? Number.POSITIVE_INFINITY),
+		);
+	}
+
+	async #watchPrimary(): Promise<void> {
+		const {timer, dialer} = this.#services;
+		const primary = this.#group.instances.get(this.#announced.primary);
+		if (!primary) {
+			return;
+		}
+
+		while (!this.#isOver && !this.#hasPrimaryAnswered) {
+			const status = await readInstanceStatus(primary.pool.instance, dialer, timer);
+			this.#hasPrimaryAnswered = status?.isPrimary === true;
+			await timer.sleep(stepMilliseconds);
+		}
+	}
+
+	/** Ends the lease of a host that has not confirmed. */
+	async #endLease(name: string): Promise<void> {
+		const {store, timer, fleet, log} = this.#services;
+		const host = fleet.hosts.get(name);
+		const lease = host?.record.lease ?? 0;
+		// A host that states no lease yet reads the announcement before it gets permission.
+		const outcome = lease === 0 ? undefined : await store.endLease(lease, callTimeoutMilliseconds);
+		if (outcome?.isErr()) {
+			log.write('lease-not-ended', {host: name, reason: outcome.error.message});
+			return;
+		}
+
+		this.#leasesEndedAt.set(name, timer.now());
+		if (host && lease !== 0) {
+			this.#removeLater(name, host.revision);
+		}
+	}
+
+	/**
+	 * Removes the record of a host that has not registered again since its lease was ended: it is gone for good, and each
+	 * further change would wait for it. Until then a host without access to the store may count it for its majority.
+	 */
+	#removeLater(name: string, revision: number): void {
+		const {timer, fleet, store, log} = this.#services;
+		const remove = async () => {
+			const key = `${hostPrefix}${name}`;
+			const outcome = await store.commit({expected: [{key, revision}], writes: [], removals: [key]}, callTimeoutMilliseconds);
+			log.write('host-removed', {host: name, outcome: outcome.isOk() ? String(outcome.value.committed) : outcome.error.message});
+		};
+
+		timer.schedule(witnessedMilliseconds + authorityMilliseconds, () => {
+			if (fleet.hosts.get(name)?.revision === revision) {
+				void remove();
+			}
+		});
+	}
+
+	#logExpiries(): void {
+		const {timer, log} = this.#services;
+		if (this.#leasesEndedAt.size > 0) {
+			log.write('leases-ended', {
+				group: this.#group.name, hosts: [...this.#leasesEndedAt.keys()].join(','), waitedMilliseconds: Math.round(timer.now() - this.#startedAt),
+				majority: this.#majorityAt !== undefined,
+			});
+		}
+	}
+}
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -100,7 +100,13 @@
 			},
 		});
 		this.#coordinator = new PromotionCoordinator({
-			...options, store, metrics: this.#metrics, registration: this.#registration, fleet: this.#fleet, getGroups: () => this.#groups.values(),
+			...options,
+			store,
+			metrics: this.#metrics,
+			suspension: new SuspensionDetector(timer, () => options.readWallClock()),
+			registration: this.#registration,
+			fleet: this.#fleet,
+			getGroups: () => this.#groups.values(),
 			isStoreAvailable: () => this.#follower.isAvailable,
 			readFleet: async () => this.#follower.read(fleetPrefix),
 		});
@@ -274,7 +280,7 @@
 			}
 		}
 
-		for (const item of [...this.#pendingRecords.values()]) {
+		for (const item of this.#pendingRecords.values()) {
 			this.#handleGroupRecord(item);
 		}
 
@@ -302,7 +308,7 @@
 
 		const {dialer, timer, log} = this.#options;
 		const known = group.instances.get(entry.id);
-		if (known && known.pool.instance.address === entry.address && known.pool.instance.startedAt === entry.startedAt) {
+		if (known?.pool.instance.address === entry.address && known.pool.instance.startedAt === entry.startedAt) {
 			delete known.missingSince;
 			known.pool.instance = entry;
 		} else {
@@ -361,7 +367,7 @@
 	#updateShares(): void {
 		for (const group of this.#groups.values()) {
 			for (const {pool} of group.instances.values()) {
-				pool.maximumConnections = this.#getShare(group.name);
+				pool.setMaximumConnections(this.#getShare(group.name));
 			}
 		}
 	}
--- a/packages/direct/src/process/host-metrics.ts
+++ b/packages/direct/src/process/host-metrics.ts
@@ -43,7 +43,8 @@
 	});
 
 	readonly #instanceDurations = new Histogram({
-		name: 'tarragon_instance_duration_milliseconds', help: 'From sending a statement to an instance to its response', labelNames: ['group', 'instance'], buckets: durationBuckets, registers: [this.#registry],
+		name: 'tarragon_instance_duration_milliseconds', help: 'From sending a statement to its response',
+		labelNames: ['group', 'instance'], buckets: durationBuckets, registers: [this.#registry],
 	});
 
 	readonly #connections = new Counter({
--- /dev/null
+++ b/packages/direct/src/process/primary-change.ts
@@ -0,0 +1,200 @@
+import {randomUUID} from 'node:crypto';
+import {compareLogPositions} from '@tarragonstack/core/request/log-position';
+import {type InstanceStatus, type UpstreamChannel} from '../connection/upstream-channel.js';
+import {ConfirmationOutcome, ConfirmationWait} from './confirmation-wait.js';
+import {commitGroupRecord} from './commit-group-record.js';
+import {GroupPhase, type GroupRecord, type VersionedGroupRecord} from './group-record.js';
+import {type InstanceGroupState, type KnownInstance} from './instance-group-state.js';
+import {readInstanceStatus, statusTimeoutMilliseconds} from './instance-status.js';
+import {type PromotionDuty} from './promotion-duty.js';
+import {PromotionAnswer} from './promotion-service.js';
+import {callTimeoutMilliseconds, stepMilliseconds, type PromotionServices} from './promotion-services.js';
+
+/** Time for which a planned change waits until the candidate holds every commit of the primary, in milliseconds. */
+const catchUpMilliseconds = 1500;
+
+/** Time after the order of a promotion until it is given again or to another instance, in milliseconds; it takes 1 s. */
+export const promotionTimeoutMilliseconds = 2500;
+
+/** Greatest age of the last proof that this host holds the duty when a promotion is ordered, in milliseconds. */
+const freshDutyMilliseconds = 500;
+
+/** One attempt to replace the primary of a group. */
+export class PrimaryChange {
+	readonly #services: PromotionServices;
+	readonly #group: InstanceGroupState;
+	readonly #duty: PromotionDuty;
+	readonly #isPlanned: boolean;
+	readonly #startedAt: number;
+
+	/**
+	 * @param services - Services.
+	 * @param group - Group whose primary changes.
+	 * @param duty - Duty that this host holds.
+	 * @param isPlanned - Whether the primary still serves, so that no commit needs to be lost.
+	 */
+	constructor(services: PromotionServices, group: InstanceGroupState, duty: PromotionDuty, isPlanned: boolean) {
+		this.#services = services;
+		this.#group = group;
+		this.#duty = duty;
+		this.#isPlanned = isPlanned;
+		this.#startedAt = services.timer.now();
+	}
+
+	/**
+	 * Runs the attempt. If it stalls, the record stays as it is, and the next attempt begins anew.
+	 *
+	 * @param seen - Record on which the attempt is based.
+	 */
+	async run(seen: VersionedGroupRecord): Promise<void> {
+		const {log} = this.#services;
+		const {primary, term, candidate} = seen;
+		const announced = await this.#advance(seen, {phase: GroupPhase.Announced, primary, term, ...(candidate && {candidate})});
+		if (!announced) {
+			return;
+		}
+
+		log.write('change-announced', {
+			group: this.#group.name, primary, planned: this.#isPlanned, fencingToken: this.#duty.fencingToken, change: announced.changeIdentifier,
+		});
+		// An order of an earlier attempt may still take effect, so a change that came so far is never given up.
+		const mayGiveUp = candidate === undefined && !this.#isPlanned;
+		const outcome = await new ConfirmationWait(this.#services, this.#group, announced).run(mayGiveUp);
+		if (outcome === ConfirmationOutcome.PrimaryAnswers) {
+			log.write('change-given-up', {group: this.#group.name, primary, reason: 'the primary answers again'});
+			await this.#advance(announced, {phase: GroupPhase.Settled, primary, term});
+			return;
+		}
+
+		await this.#promote(announced);
+	}
+
+	async #promote(announced: VersionedGroupRecord): Promise<void> {
+		const {log, timer} = this.#services;
+		const candidate = await this.#chooseCandidate(announced);
+		if (!candidate) {
+			log.write('change-stalled', {group: this.#group.name, reason: 'no instance can be promoted'});
+			return;
+		}
+
+		const {id} = candidate.pool.instance;
+		if (!(await this.#order(announced, id))) {
+			return;
+		}
+
+		const status = await this.#waitUntilPrimary(candidate, announced.term);
+		const {record} = this.#group;
+		if (!status || record?.changeIdentifier !== announced.changeIdentifier) {
+			log.write('change-stalled', {group: this.#group.name, reason: 'the promoted instance does not lead'});
+			return;
+		}
+
+		const settled = await this.#advance(record, {phase: GroupPhase.Settled, primary: id, term: status.term});
+		log.write('change-settled', {
+			group: this.#group.name, primary: id, term: status.term, known: settled !== undefined, durationMilliseconds: Math.round(timer.now() - this.#startedAt),
+		});
+		const old = this.#group.instances.get(announced.primary);
+		if (old && old !== candidate) {
+			void this.#demote(old, status.term);
+		}
+	}
+
+	/** Orders the promotion. Returns whether it may take effect. */
+	async #order(announced: VersionedGroupRecord, instance: string): Promise<boolean> {
+		const {timer, suspension, promotions, metrics, log, hostName} = this.#services;
+		suspension.check();
+		const provedAt = timer.now();
+		const {primary, term} = announced;
+		if (!(await this.#advance(announced, {phase: GroupPhase.Promoting, primary, candidate: instance, term}))) {
+			return false;
+		}
+
+		// Another host may have taken the duty while this process stood still.
+		if (suspension.check() || timer.now() - provedAt > freshDutyMilliseconds) {
+			log.write('change-stalled', {group: this.#group.name, reason: 'the process was held up before the order'});
+			return false;
+		}
+
+		const {fencingToken} = this.#duty;
+		const answer = await promotions.promote({group: this.#group.name, instance, holder: hostName, fencingToken}, callTimeoutMilliseconds);
+		metrics.countPromotion(answer.unwrapOr('unanswered'));
+		log.write('promotion-ordered', {group: this.#group.name, instance, fencingToken, outcome: answer.isOk() ? answer.value : answer.error});
+		return answer.isErr() || answer.value !== PromotionAnswer.InstanceNotRunning;
+	}
+
+	/** Returns the instance that has received most, or `undefined` if none answers. Instances that stay are preferred. */
+	async #chooseCandidate(announced: GroupRecord): Promise<KnownInstance | undefined> {
+		const {timer, dialer} = this.#services;
+		const until = timer.now() + catchUpMilliseconds;
+		const primary = this.#group.instances.get(announced.primary);
+		const primaryStatus = this.#isPlanned && primary ? await readInstanceStatus(primary.pool.instance, dialer, timer) : undefined;
+		for (;;) {
+			const best = await this.#findMostAdvanced(announced.primary);
+			const isCaughtUp = best !== undefined && (primaryStatus === undefined || compareLogPositions(best.status.received, primaryStatus.received) >= 0);
+			if (isCaughtUp || timer.now() >= until) {
+				return best?.known;
+			}
+
+			await timer.sleep(stepMilliseconds);
+		}
+	}
+
+	async #findMostAdvanced(primary: string): Promise<{known: KnownInstance; status: InstanceStatus} | undefined> {
+		const {timer, dialer} = this.#services;
+		const others = [...this.#group.instances.values()].filter(({pool}) => pool.instance.id !== primary);
+		const answers = await Promise.all(others.map(async known => ({known, status: await readInstanceStatus(known.pool.instance, dialer, timer)})));
+		return answers
+			.filter((answer): answer is {known: KnownInstance; status: InstanceStatus} => answer.status !== undefined)
+			.toSorted((left, right) => {
+				const leaving = Number(left.known.pool.instance.leaving) - Number(right.known.pool.instance.leaving);
+				return leaving === 0 ? compareLogPositions(right.status.received, left.status.received) : leaving;
+			})[0];
+	}
+
+	async #waitUntilPrimary(known: KnownInstance, previousTerm: number): Promise<InstanceStatus | undefined> {
+		const {timer, dialer} = this.#services;
+		const until = timer.now() + promotionTimeoutMilliseconds;
+		let channel: UpstreamChannel | undefined;
+		try {
+			while (timer.now() < until) {
+				if (!channel || channel.closed) {
+					const dialled = await dialer.dial(known.pool.instance, statusTimeoutMilliseconds);
+					channel = dialled.isOk() ? dialled.value : undefined;
+				}
+
+				const status = await channel?.readStatus(timer.now() + statusTimeoutMilliseconds);
+				if (status?.isOk() && status.value.isPrimary && status.value.term > previousTerm) {
+					return status.value;
+				}
+
+				await timer.sleep(stepMilliseconds);
+			}
+		} finally {
+			channel?.[Symbol.dispose]();
+		}
+
+		return undefined;
+	}
+
+	/** Tells a replaced primary to become a replica. It also learns this by itself once it reaches the new primary. */
+	async #demote(known: KnownInstance, term: number): Promise<void> {
+		const {dialer, timer, log} = this.#services;
+		const {instance} = known.pool;
+		const dialled = await dialer.dial(instance, callTimeoutMilliseconds);
+		if (dialled.isErr()) {
+			log.write('demotion-failed', {instance: instance.id, reason: dialled.error.message});
+			return;
+		}
+
+		using channel = dialled.value;
+		const outcome = await channel.demote(term, timer.now() + callTimeoutMilliseconds);
+		log.write('demoted', {instance: instance.id, term, outcome: outcome.isOk() ? 'accepted' : outcome.error.message});
+	}
+
+	async #advance(from: VersionedGroupRecord, change: Pick<GroupRecord, 'phase' | 'primary' | 'candidate' | 'term'>): Promise<VersionedGroupRecord | undefined> {
+		return commitGroupRecord(this.#services, this.#group, from.revision, {
+			...change, promoter: this.#duty.host, fencingToken: this.#duty.fencingToken,
+			changeIdentifier: change.phase === GroupPhase.Announced ? randomUUID() : from.changeIdentifier,
+		});
+	}
+}
--- /dev/null
+++ b/packages/direct/src/process/promotion-services.ts
@@ -0,0 +1,37 @@
+import {type SharedStore} from '@tarragonstack/core/adapters/shared-store';
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {type UpstreamDialer} from '../connection/upstream-channel.js';
+import {type EventLog} from './event-log.js';
+import {type FleetView} from './fleet-view.js';
+import {type HostMetrics} from './host-metrics.js';
+import {type HostRegistration} from './host-registration.js';
+import {type InstanceGroupState} from './instance-group-state.js';
+import {type PromotionService} from './promotion-service.js';
+import {type SuspensionDetector} from './suspension-detector.js';
+
+/** Services that replacing a primary needs. */
+export type PromotionServices = {
+	readonly hostName: string;
+	readonly store: SharedStore;
+	readonly timer: TimerService;
+	readonly log: EventLog;
+	readonly dialer: UpstreamDialer;
+	readonly promotions: PromotionService;
+	readonly metrics: HostMetrics;
+	readonly registration: HostRegistration;
+	readonly fleet: FleetView;
+	/** Detector of its own, so that a suspension that another part noticed is noticed here as well. */
+	readonly suspension: SuspensionDetector;
+	/** Returns all groups. */
+	getGroups(): Iterable<InstanceGroupState>;
+	/** Whether the store answers this host. */
+	isStoreAvailable(): boolean;
+	/** Reads the records of the fleet; returns whether the store answered. */
+	readFleet(): Promise<boolean>;
+};
+
+/** Time that a call to the store or to the promotion service may take, in milliseconds. */
+export const callTimeoutMilliseconds = 1000;
+
+/** Interval at which confirmations and statuses are looked at, in milliseconds. */
+export const stepMilliseconds = 25;
--- a/packages/direct/src/process/store-follower.ts
+++ b/packages/direct/src/process/store-follower.ts
@@ -83,6 +83,11 @@
 		return true;
 	}
 
+	/** Begins a new watch, because the store was away: a call that was under way then may never be answered. */
+	restartWatch(): void {
+		this.#watchAbort.abort();
+	}
+
 	async #follow(): Promise<void> {
 		const {store, timer} = this.#options;
 		while (!this.#abort.signal.aborted) {
@@ -107,11 +112,6 @@
 		}
 	}
 
-	/** Begins a new watch, because the store was away: a call that was under way then may never be answered. */
-	restartWatch(): void {
-		this.#watchAbort.abort();
-	}
-
 	async #readSnapshot(): Promise<boolean> {
 		const outcome = await this.#options.store.readRange('', callTimeoutMilliseconds);
 		if (outcome.isErr()) {
--- a/packages/direct/tests/fleet/fake-fleet.ts
+++ b/packages/direct/tests/fleet/fake-fleet.ts
@@ -149,15 +149,17 @@
 
 	/** Runs one statement of a session and moves the time until it has ended. */
 	async run(session: ClientSession, kind: StatementKind, fields: Partial<Statement> = {}): Promise<StatementResult> {
-		let result: StatementResult | undefined;
-		void (async () => {
-			result = await session.execute(this.createStatement(kind, fields));
-		})();
-		for (let step = 0; result === undefined && step < 5000; step++) {
+		const results: StatementResult[] = [];
+		const execute = async () => {
+			results.push(await session.execute(this.createStatement(kind, fields)));
+		};
+
+		void execute();
+		for (let step = 0; results.length === 0 && step < 5000; step++) {
 			await this.timer.advance(1);
 		}
 
-		return result!;
+		return results[0]!;
 	}
 
 	/** Opens a session at a host. */
@@ -168,23 +170,24 @@
 	/** Keeps every host writing, one statement after the other, until the returned function is called. */
 	startWriters(): {readonly results: Array<{readonly host: string; readonly identifier: string; readonly at: number; readonly result: StatementResult}>; stop(): void} {
 		const results: Array<{host: string; identifier: string; at: number; result: StatementResult}> = [];
-		let isStopped = false;
+		const stopped = new AbortController();
+		const write = async (host: string, session: ClientSession) => {
+			while (!stopped.signal.aborted) {
+				const statement = this.createStatement(StatementKind.Write);
+				const result = await session.execute(statement);
+				results.push({host, identifier: statement.identifier, at: this.timer.now(), result});
+				await this.timer.sleep(20);
+			}
+		};
+
 		for (const [index, {name}] of this.hosts.entries()) {
-			const session = this.open(index, Consistency.Primary);
-			void (async () => {
-				while (!isStopped) {
-					const statement = this.createStatement(StatementKind.Write);
-					const result = await session.execute(statement);
-					results.push({host: name, identifier: statement.identifier, at: this.timer.now(), result});
-					await this.timer.sleep(20);
-				}
-			})();
+			void write(name, this.open(index, Consistency.Primary));
 		}
 
 		return {
 			results,
 			stop() {
-				isStopped = true;
+				stopped.abort();
 			},
 		};
 	}
--- a/packages/direct/tests/fleet/fake-store.ts
+++ b/packages/direct/tests/fleet/fake-store.ts
@@ -41,7 +41,7 @@
 
 	#append(change: StoreChange): void {
 		this.history.push(change);
-		for (const listener of [...this.listeners]) {
+		for (const listener of this.listeners) {
 			listener();
 		}
 	}
@@ -50,10 +50,10 @@
 /** Access of one host to the shared state. It can be cut, and the replies of writes can be lost. */
 export class FakeStore implements SharedStore {
 	losesReplies = false;
-	#isCut = false;
-	#cuts = 0;
 	/** Calls by name. */
 	readonly calls = new Map<string, number>();
+	#isCut = false;
+	#cuts = 0;
 	readonly #state: FakeStoreState;
 	readonly #timer: TimerService;
 
--- a/packages/direct/tests/fleet/promotion.test.ts
+++ b/packages/direct/tests/fleet/promotion.test.ts
@@ -195,7 +195,7 @@
 			fleet.putInstance({...fleet.group.get(leader).entry, leaving: false});
 			writers.stop();
 			await fleet.timer.advance(12_000);
-			durations.push(...fleet.getEvents('change-settled').slice(round).map(({fields}) => fields['durationMilliseconds']));
+			durations.push(...fleet.getEvents('change-settled').slice(round).map(({fields}) => fields.durationMilliseconds));
 		}
 
 		expect(durations).toHaveLength(2);
--- a/packages/stand-ins/src/platform/platform-store.ts
+++ b/packages/stand-ins/src/platform/platform-store.ts
@@ -18,8 +18,6 @@
 	rejectWith: number | undefined;
 	/** Whether calls are executed but not answered. */
 	losesAnswers = false;
-	/** Called for each order of a promotion; returns whether the instance runs. */
-	onPromote: (promotion: ReceivedPromotion) => boolean = () => true;
 	readonly #items = new Map<string, Item>();
 	readonly #events: Event[] = [];
 	readonly #leases = new Set<number>();
@@ -38,6 +36,9 @@
 	#nextLease = 7000;
 	#forgotten = 0;
 
+	/** Called for each order of a promotion; returns whether the instance runs. */
+	onPromote: (promotion: ReceivedPromotion) => boolean = () => true;
+
 	/**
 	 * Starts to listen.
 	 *
@@ -93,7 +94,7 @@
 			return handler(call);
 		}
 
-		const lease = Number(/^\/kv-(?:keep|lease-end)\/(?<id>\d+)$/v.exec(call.path)?.groups?.['id']);
+		const lease = Number(/^\/kv-(?:keep|lease-end)\/(?<id>\d+)$/v.exec(call.path)?.groups?.id);
 		if (!this.#leases.has(lease)) {
 			throw new HttpError(404, {error: 'not found'});
 		}
@@ -169,12 +170,12 @@
 	#createLease(body: Readonly<Record<string, unknown>>): unknown {
 		this.#nextLease++;
 		this.#leases.add(this.#nextLease);
-		return {lease: this.#nextLease, ttl_ms: body['ttl_ms']};
+		return {lease: this.#nextLease, ttl_ms: body.ttl_ms};
 	}
 
 	#promote(body: Readonly<Record<string, unknown>>, headers: Readonly<Record<string, string | string[] | undefined>>): unknown {
 		const promotion = {
-			backend: String(body['backend']), id: String(body['id']), holder: String(headers['x-lease-holder']), token: Number(headers['x-fencing-token']),
+			backend: String(body.backend), id: String(body.id), holder: String(headers['x-lease-holder']), token: Number(headers['x-fencing-token']),
 		};
 		this.promotions.push(promotion);
 		if (!this.onPromote(promotion)) {
--- a/packages/stand-ins/src/platform/wire-instance.ts
+++ b/packages/stand-ins/src/platform/wire-instance.ts
@@ -131,11 +131,11 @@
 				this.role = 'replica';
 				return `ROW replica ${name} ${this.term}.${this.index} 0 0 0 1\r\nCOMPLETE -\r\n`;
 			},
-			RESET: () => {
+			RESET() {
 				session.prepared.clear();
 				return 'COMPLETE -\r\n';
 			},
-			PREPARE: () => {
+			PREPARE() {
 				session.prepared.set(name, kind);
 				return 'COMPLETE -\r\n';
 			},
@@ -145,7 +145,7 @@
 				this.index++;
 				return `COMPLETE proof.${identifier}\r\n`;
 			},
-			COMMIT: () => {
+			COMMIT() {
 				session.status = 'I';
 				return `COMPLETE proof.${identifier}\r\n`;
 			},
