Give a repeated read more time at each attempt

Change: a read waits half of its route's target, 250 ms at least, and twice as long at each further attempt. The test fails with the former 250 ms.

--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -7,6 +7,7 @@
 import {actionOfErrorCode, ErrorAction} from '../request/error-handling.js';
 import {type SessionFloor} from '../request/freshness-ledger.js';
 import {chooseReadCandidate} from '../request/read-placement.js';
+import {getReadSilence} from '../request/read-silence.js';
 import {StatementErrorCode} from '../request/statement-error-code.js';
 import {StatementKind} from '../request/statement-kind.js';
 import {type StatementResult} from '../request/statement-result.js';
@@ -24,13 +25,6 @@
 /** Part of the permitted staleness that is not used, in milliseconds; it covers differences in when the parties look. */
 const stalenessMarginMilliseconds = 100;
 
-/** Multiple of an instance's service time after which a read without a response is sent to another instance. */
-const readSilenceServiceTimes = 8;
-
-/** Bounds of the time after which a read without a response is sent to another instance, in milliseconds. */
-const minimumReadSilenceMilliseconds = 250;
-const maximumReadSilenceMilliseconds = 500;
-
 /** Longest pause before an instance or the list of instances is looked at again, in milliseconds. */
 const retryPauseMilliseconds = 20;
 
@@ -215,7 +209,7 @@
 	}
 
 	async #attempt(work: FirstStatement, target: Target, connection: PooledConnection, deadline: number): Promise<Attempt> {
-		const {statement, begin, context, definition, group} = work;
+		const {statement, begin, context, definition, group, route, trace} = work;
 		const {pool, minimumPosition, reign} = target;
 		if (reign !== undefined && !group.isReignCurrent(reign)) {
 			pool.release(connection);
@@ -231,7 +225,7 @@
 			connection,
 			preamble,
 			{statement, ...(definition && {preparedName: getPreparedName(definition)}), ...(!begin && position)},
-			{timer: this.#timer, deadline: mayRepeat(work) ? Math.min(deadline, startedAt + getReadSilence(pool)) : deadline},
+			{timer: this.#timer, deadline: mayRepeat(work) ? Math.min(deadline, startedAt + getReadSilence(route.targetMilliseconds, trace.attempts)) : deadline},
 		);
 		if (outcome.progress === Progress.Answered) {
 			return this.#handleAnswer(work, target, connection, outcome);
@@ -353,10 +347,6 @@
 	return begin !== undefined || statement.kind === StatementKind.Read || definition?.writes === false;
 }
 
-function getReadSilence(pool: InstancePool): number {
-	return Math.min(maximumReadSilenceMilliseconds, Math.max(minimumReadSilenceMilliseconds, pool.serviceTime * readSilenceServiceTimes));
-}
-
 /**
  * Creates the result of a statement that failed on this host.
  *
--- a/packages/direct/src/request/index.ts
+++ b/packages/direct/src/request/index.ts
@@ -6,6 +6,7 @@
 export * from './majority.js';
 export * from './read-placement.js';
 export type * from './statement.js';
+export * from './read-silence.js';
 export * from './statement-error-code.js';
 export * from './statement-kind.js';
 export type * from './statement-result.js';
--- a/packages/direct/tests/fleet/consistency.test.ts
+++ b/packages/direct/tests/fleet/consistency.test.ts
@@ -67,6 +67,19 @@
 		expect(Number(read.rows[0])).toBeGreaterThanOrEqual(newest.position.index);
 	});
 
+	// Guards against a read that takes long at every instance and is given up again and again (rc-montevideo inc-67a6).
+	it('that take several times as long as usual are answered', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const session = fleet.open(0, Consistency.ReadYourWrites);
+		await fleet.run(session, StatementKind.Write);
+		for (const instance of fleet.group.instances) {
+			instance.serviceMilliseconds = 330;
+		}
+
+		expect((await fleet.run(session, StatementKind.Read)).error).toBeUndefined();
+	});
+
 	// Guards against a response that is lost together with the read, although another instance could serve it.
 	it('are sent to another instance when a response is lost', async () => {
 		const fleet = new FakeFleet();
--- a/packages/direct/tests/fleet/fake-group.ts
+++ b/packages/direct/tests/fleet/fake-group.ts
@@ -34,6 +34,8 @@
 	/** Errors that the next statements get instead of running. */
 	readonly nextErrors: StatementErrorCode[] = [];
 	connections = 0;
+	/** Time that a statement takes, in milliseconds. */
+	serviceMilliseconds = 0;
 
 	constructor(entry: InstanceEntry) {
 		this.entry = entry;
@@ -123,6 +125,9 @@
 	}
 
 	async run(batch: readonly UpstreamStatement[], deadline: number): Promise<Result<StatementResult[], ChannelError>> {
+		using _deadline = this.#timer.schedule(deadline - this.#timer.now(), () => {
+			this[Symbol.dispose]();
+		});
 		await this.#timer.sleep(2);
 		if (this.#isUnreachable()) {
 			return this.#waitInVain(deadline);
@@ -134,7 +139,7 @@
 			return this.#waitInVain(deadline);
 		}
 
-		await this.#timer.sleep(2);
+		await this.#timer.sleep(2 + (batch.some(entry => 'statement' in entry) ? this.#instance.serviceMilliseconds : 0));
 		if (this.closed) {
 			return err({failure: ChannelFailure.Broken, message: 'closed'});
 		}
--- /dev/null
+++ b/packages/direct/tests/request/suspicion.test.ts
@@ -0,0 +1,37 @@
+import {describe, expect, it} from 'vitest';
+import {getConnectionShare, isMajority, isSuspicious} from '../../src/index.js';
+
+const calm = {unknownMilliseconds: 0, silenceMilliseconds: 0, unreachableMilliseconds: 0};
+
+describe('isSuspicious', () => {
+	// Guards against primaries that are replaced although they are only slow, and against losses that are noticed late.
+	it.each([
+		{name: 'answers', observation: calm, isDoubted: true, expected: false},
+		{name: 'is slow', observation: {...calm, silenceMilliseconds: 300}, isDoubted: false, expected: false},
+		{name: 'is silent', observation: {...calm, silenceMilliseconds: 400}, isDoubted: false, expected: true},
+		{name: 'is silent for a short time and doubted by others', observation: {...calm, silenceMilliseconds: 200}, isDoubted: true, expected: true},
+		{name: 'refuses connections', observation: {...calm, unreachableMilliseconds: 150}, isDoubted: false, expected: true},
+		{name: 'has just lost its entry', observation: {...calm, unknownMilliseconds: 2900}, isDoubted: false, expected: false},
+		{name: 'has no address', observation: {...calm, unknownMilliseconds: 3000}, isDoubted: false, expected: true},
+	])('is $expected for a primary that $name', ({observation, isDoubted, expected}) => {
+		expect(isSuspicious(observation, isDoubted)).toBe(expected);
+	});
+});
+
+describe('isMajority', () => {
+	it.each([[3, 6, false], [4, 6, true], [3, 7, false], [4, 7, true], [1, 1, true], [0, 0, false]])('of %i in %i is %s', (part, whole, expected) => {
+		expect(isMajority(part, whole)).toBe(expected);
+	});
+});
+
+describe('getConnectionShare', () => {
+	// Guards against hosts that together use up the connections of an instance, and against a host without any.
+	it.each([
+		{limit: 21, hosts: 6, expected: 3},
+		{limit: 30, hosts: 7, expected: 3},
+		{limit: 47, hosts: 67, expected: 1},
+		{limit: 21, hosts: 0, expected: 18},
+	])('is $expected for $limit connections and $hosts hosts', ({limit, hosts, expected}) => {
+		expect(getConnectionShare(limit, hosts)).toBe(expected);
+	});
+});
