--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -25,6 +25,9 @@
 /** Part of the permitted staleness that is not used, in milliseconds; it covers differences in when the parties look. */
 const stalenessMarginMilliseconds = 100;
 
+/** Share of a statement's time limit that must be left when it is sent; a write that is cut off has an unknown outcome. */
+const sendReserveShare = 0.15;
+
 /** Longest pause before an instance or the list of instances is looked at again, in milliseconds. */
 const retryPauseMilliseconds = 20;
 
@@ -107,11 +110,12 @@
 	 * @param work - Statement and what is known of its session.
 	 */
 	async run(work: FirstStatement): Promise<FirstOutcome> {
+		const deadline = this.#timer.now() + work.route.statementTimeoutMilliseconds;
 		const request: WaitingRequest = {
 			priority: work.route.priority,
 			arrivedAt: work.arrivedAt,
 			onTimeUntil: work.arrivedAt + work.route.targetMilliseconds,
-			deadline: this.#timer.now() + work.route.statementTimeoutMilliseconds,
+			deadline: deadline - (work.route.statementTimeoutMilliseconds * sendReserveShare),
 		};
 		const tried = new Set<InstancePool>();
 		let reason = 'no instance is available';
@@ -149,7 +153,7 @@
 				work.trace.minimumPosition = formatLogPosition(target.minimumPosition);
 			}
 
-			const attempt = await this.#attempt(work, target, connection, request.deadline);
+			const attempt = await this.#attempt(work, target, connection, deadline);
 			if (attempt.outcome) {
 				return attempt.outcome;
 			}
--- a/packages/direct/tests/fleet/fake-group.ts
+++ b/packages/direct/tests/fleet/fake-group.ts
@@ -130,13 +130,13 @@
 		});
 		await this.#timer.sleep(2);
 		if (this.#isUnreachable()) {
-			return this.#waitInVain(deadline);
+			return await this.#waitInVain(deadline);
 		}
 
 		const results = batch.map(entry => this.#runOne(entry));
 		if (this.#instance.responsesToLose > 0 && batch.some(entry => 'statement' in entry)) {
 			this.#instance.responsesToLose--;
-			return this.#waitInVain(deadline);
+			return await this.#waitInVain(deadline);
 		}
 
 		await this.#timer.sleep(2 + (batch.some(entry => 'statement' in entry) ? this.#instance.serviceMilliseconds : 0));
