--- a/packages/direct/tests/fleet/explanations.test.ts
+++ b/packages/direct/tests/fleet/explanations.test.ts
@@ -4,12 +4,12 @@
 
 /** Returns the lines of a request, as `grep` for its identifier does. */
 function findRequest(fleet: FakeFleet, request: string) {
-	return fleet.hosts.flatMap(({log}) => log).filter(({fields}) => fields['request'] === request);
+	return fleet.hosts.flatMap(({log}) => log).filter(({fields}) => fields.request === request);
 }
 
 /** Returns the events of a group, as `grep` for its name does. */
 function findGroupEvents(fleet: FakeFleet): string[] {
-	return fleet.hosts.flatMap(({log}) => log).filter(({fields}) => fields['group'] === 'orders').map(({event}) => event);
+	return fleet.hosts.flatMap(({log}) => log).filter(({fields}) => fields.group === 'orders').map(({event}) => event);
 }
 
 // Each case follows the steps of docs/OPERATIONS.md, from the identifier of a request to the cause.
@@ -33,7 +33,7 @@
 		const refused = codes.indexOf(StatementErrorCode.Overloaded);
 		const [line] = findRequest(fleet, `load-${refused}`);
 		expect(line).toMatchObject({event: 'statement-failed', fields: {outcome: 'overloaded', attempts: 0, reason: 'no connection became free in time'}});
-		expect(Number(line!.fields['waitedMilliseconds'])).toBeGreaterThan(800);
+		expect(Number(line!.fields.waitedMilliseconds)).toBeGreaterThan(800);
 		expect(findGroupEvents(fleet)).not.toContain('instance-unreachable');
 	});
 
@@ -47,7 +47,7 @@
 		await fleet.timer.advance(5000);
 		writers.stop();
 		await fleet.timer.advance(1500);
-		const unknown = writers.results.find(({result}) => result.error?.code === 'outcome-unknown')!;
+		const unknown = writers.results.find(({result}) => result.error?.code === StatementErrorCode.OutcomeUnknown)!;
 		const lines = findRequest(fleet, unknown.identifier);
 		expect(lines.map(({event}) => event)).toEqual(['statement-unanswered', 'statement-failed']);
 		expect(lines[1]!.fields).toMatchObject({outcome: 'outcome-unknown', instance: 'orders-0', attempts: 1});
@@ -70,6 +70,6 @@
 		expect(lines).toMatchObject([{event: 'statement-late', fields: {
 			outcome: 'completed', instance: 'orders-0', reason: 'behind', minimumPosition: `${written.position!.term}:${written.position!.index}`,
 		}}]);
-		expect(fleet.getEvents('group-record').at(-1)!.fields['primary']).toBe('orders-0');
+		expect(fleet.getEvents('group-record').at(-1)!.fields.primary).toBe('orders-0');
 	});
 });
