Wait for every replica that may hold an acknowledged commit

Cause: where commits wait for a replica, the most advanced replica that answered was promoted even if another one might hold more. Change: with s synchronous replicas of r, r - s + 1 must report before one is promoted.

--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -268,10 +268,10 @@
 		}
 
 		this.#configuration = configuration;
-		for (const name of configuration.groups.keys()) {
-			if (!this.#groups.has(name)) {
-				this.#groups.set(name, new InstanceGroupState(name, this.#authority));
-			}
+		for (const {name, synchronousReplicas} of configuration.groups.values()) {
+			const group = this.#groups.get(name) ?? new InstanceGroupState(name, this.#authority);
+			group.synchronousReplicas = synchronousReplicas;
+			this.#groups.set(name, group);
 		}
 
 		for (const entry of this.#entries.values()) {
--- a/packages/direct/src/process/instance-group-state.ts
+++ b/packages/direct/src/process/instance-group-state.ts
@@ -33,6 +33,8 @@
 export class InstanceGroupState {
 	/** Name of the group. */
 	readonly name: string;
+	/** Replicas that hold each acknowledged commit, by the newest configuration. */
+	synchronousReplicas = 0;
 	/** Positions that this host saw at the primary. */
 	readonly ledger = new FreshnessLedger();
 	/** Instances by identifier. */
--- a/packages/direct/src/process/primary-change.ts
+++ b/packages/direct/src/process/primary-change.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {compareLogPositions} from '@tarragonstack/core/request/log-position';
 import {type InstanceStatus, type UpstreamChannel} from '../connection/upstream-channel.js';
+import {getCandidateQuorum} from '../request/candidate-quorum.js';
 import {ConfirmationOutcome, ConfirmationWait} from './confirmation-wait.js';
 import {commitGroupRecord} from './commit-group-record.js';
 import {GroupPhase, type GroupRecord, type VersionedGroupRecord} from './group-record.js';
@@ -129,26 +130,33 @@
 		const primary = this.#group.instances.get(announced.primary);
 		const primaryStatus = this.#isPlanned && primary ? await readInstanceStatus(primary.pool.instance, dialer, timer) : undefined;
 		for (;;) {
-			const best = await this.#findMostAdvanced(announced.primary);
+			const {best, isQuorum} = await this.#findMostAdvanced(announced.primary);
 			const isCaughtUp = best !== undefined && (primaryStatus === undefined || compareLogPositions(best.status.received, primaryStatus.received) >= 0);
-			if (isCaughtUp || timer.now() >= until) {
+			if (isQuorum && (isCaughtUp || timer.now() >= until)) {
 				return best?.known;
 			}
 
+			if (timer.now() >= until) {
+				return undefined;
+			}
+
 			await timer.sleep(stepMilliseconds);
 		}
 	}
 
-	async #findMostAdvanced(primary: string): Promise<{known: KnownInstance; status: InstanceStatus} | undefined> {
+	/** Returns the most advanced replica, and whether enough have answered to hold every commit that must survive. */
+	async #findMostAdvanced(primary: string): Promise<{best: {known: KnownInstance; status: InstanceStatus} | undefined; isQuorum: boolean}> {
 		const {timer, dialer} = this.#services;
 		const others = [...this.#group.instances.values()].filter(({pool}) => pool.instance.id !== primary);
 		const answers = await Promise.all(others.map(async known => ({known, status: await readInstanceStatus(known.pool.instance, dialer, timer)})));
-		return answers
-			.filter((answer): answer is {known: KnownInstance; status: InstanceStatus} => answer.status !== undefined)
+		const reports = answers.filter((answer): answer is {known: KnownInstance; status: InstanceStatus} => answer.status !== undefined);
+		const isQuorum = reports.length >= getCandidateQuorum(others.length, this.#group.synchronousReplicas);
+		const [best] = reports
 			.toSorted((left, right) => {
 				const leaving = Number(left.known.pool.instance.leaving) - Number(right.known.pool.instance.leaving);
 				return leaving === 0 ? compareLogPositions(right.status.received, left.status.received) : leaving;
-			})[0];
+			});
+		return {best, isQuorum};
 	}
 
 	async #waitUntilPrimary(known: KnownInstance, previousTerm: number): Promise<InstanceStatus | undefined> {
--- a/packages/direct/src/request/index.ts
+++ b/packages/direct/src/request/index.ts
@@ -1,3 +1,4 @@
+export * from './candidate-quorum.js';
 export * from './congestion-window.js';
 export * from './connection-share.js';
 export * from './consistency.js';
--- a/packages/direct/src/version/deployment-configuration.ts
+++ b/packages/direct/src/version/deployment-configuration.ts
@@ -20,6 +20,8 @@
 	readonly name: string;
 	/** Connections that an instance accepts from all hosts together. */
 	readonly connectionLimit: number;
+	/** Replicas that have received a commit when it is acknowledged. */
+	readonly synchronousReplicas: number;
 };
 
 /** One version of the configuration, complete. */
--- a/packages/direct/tests/fleet/fake-fleet.ts
+++ b/packages/direct/tests/fleet/fake-fleet.ts
@@ -9,6 +9,12 @@
 
 const zones = ['zone-a', 'zone-b', 'zone-c'];
 
+type FakeConfiguration = {
+	readonly version: number;
+	readonly furtherDatabases: readonly string[];
+	readonly synchronousReplicas: number;
+};
+
 /** One host of a `FakeFleet`. */
 export type FakeHost = {
 	readonly name: string;
@@ -45,8 +51,8 @@
 	}
 
 	/** Writes a configuration with a route of each consistency, and further ones. */
-	putConfiguration(version: number, furtherDatabases: readonly string[] = []): void {
-		this.state.put('configuration', JSON.stringify({version, furtherDatabases}));
+	putConfiguration(version: number, furtherDatabases: readonly string[] = [], synchronousReplicas = 0): void {
+		this.state.put('configuration', JSON.stringify({version, furtherDatabases, synchronousReplicas}));
 	}
 
 	/** Writes the entry of an instance. */
@@ -89,7 +95,7 @@
 				formats: {
 					configurationKey: 'configuration',
 					instancePrefix: 'instances/',
-					decodeConfiguration: text => ok(createConfiguration(JSON.parse(text) as {version: number; furtherDatabases: string[]})),
+					decodeConfiguration: text => ok(createConfiguration(JSON.parse(text) as FakeConfiguration)),
 					decodeInstance: (_id, text) => ok(JSON.parse(text) as InstanceEntry),
 				},
 				dialer: {
@@ -198,7 +204,7 @@
 	}
 }
 
-function createConfiguration({version, furtherDatabases}: {version: number; furtherDatabases: readonly string[]}): DeploymentConfiguration {
+function createConfiguration({version, furtherDatabases, synchronousReplicas}: FakeConfiguration): DeploymentConfiguration {
 	const staleness = {[Consistency.Primary]: 0, [Consistency.BoundedStaleness]: 1500, [Consistency.ReadYourWrites]: 2500};
 	const databases: Array<[string, Consistency]> = [
 		...Object.values(Consistency).map((consistency): [string, Consistency] => [consistency, consistency]),
@@ -210,7 +216,7 @@
 			database, group: 'orders', consistency, statementTimeoutMilliseconds: 1000, targetMilliseconds: 200, priority: index,
 			maximumStalenessMilliseconds: staleness[consistency],
 		}])),
-		groups: new Map([['orders', {name: 'orders', connectionLimit: 21}]]),
+		groups: new Map([['orders', {name: 'orders', connectionLimit: 21, synchronousReplicas}]]),
 		idleTransactionMilliseconds: 3000,
 	};
 }
--- a/packages/direct/tests/fleet/promotion.test.ts
+++ b/packages/direct/tests/fleet/promotion.test.ts
@@ -204,6 +204,31 @@
 		expect(fleet.state.items.has(`fleet/host/${vanished.name}`)).toBe(false);
 	});
 
+	// Guards against the loss of an acknowledged commit where commits wait for a replica.
+	it('waits for the replica that may hold the last commits', async () => {
+		const fleet = new FakeFleet();
+		fleet.putConfiguration(2, [], 1);
+		await fleet.settle();
+		fleet.group.get('orders-1').receives = false;
+		const writers = fleet.startWriters();
+		await fleet.timer.advance(500);
+		for (const {name} of fleet.hosts) {
+			fleet.group.get('orders-0').cutFrom.add(name);
+			fleet.group.get('orders-2').cutFrom.add(name);
+		}
+
+		await fleet.timer.advance(4000);
+		expect(fleet.promotions).toEqual([]);
+		fleet.group.get('orders-2').cutFrom.clear();
+		await fleet.timer.advance(5000);
+		writers.stop();
+		await fleet.timer.advance(1500);
+		expect(fleet.getLeader()).toBe('orders-2');
+		const held = new Set(fleet.group.get('orders-2').log.map(({term, index}) => `${term}.${index}`));
+		const acknowledged = new Set(writers.results.filter(({result}) => !result.error).map(({identifier}) => identifier));
+		expect(fleet.group.commits.filter(({identifier, position}) => acknowledged.has(identifier) && !held.has(`${position.term}.${position.index}`))).toEqual([]);
+	});
+
 	// Guards against work for a primary that is about to stop, and against commits lost by a planned change.
 	it('moves away from a primary that leaves without losing a commit', async () => {
 		const fleet = new FakeFleet();
