--- a/packages/direct/src/process/authority-witness.ts
+++ b/packages/direct/src/process/authority-witness.ts
@@ -89,10 +89,15 @@
 	}
 
 	#handleMessage(message: unknown, from: string): void {
+		if (typeof message !== 'object' || message === null) {
+			this.#options.log.write('datagram-invalid', {from, reason: 'it holds no message'});
+			return;
+		}
+
 		const {kind, number} = message as Partial<Question | Report>;
 		if (kind === 'question' && typeof number === 'number') {
 			this.#report(number, from);
-		} else if (kind === 'report' && number === this.#number && isReport(message as Partial<Report>)) {
+		} else if (kind === 'report' && number === this.#number && isReport(message)) {
 			this.#handleReport(message as Report);
 		}
 	}
--- a/packages/direct/tests/fleet/fake-fleet.ts
+++ b/packages/direct/tests/fleet/fake-fleet.ts
@@ -137,6 +137,11 @@
 		return fakeHost;
 	}
 
+	/** Delivers a message to a host as if another one had sent it. */
+	deliver(receiver: string, message: unknown, from: string): void {
+		this.#transports.get(receiver)?.onMessage?.(message, from);
+	}
+
 	/** Starts all and waits until every host is ready. */
 	async settle(): Promise<void> {
 		await this.timer.advance(2000);
--- /dev/null
+++ b/packages/direct/tests/fleet/peer-messages.test.ts
@@ -0,0 +1,23 @@
+import {fc, test} from '@fast-check/vitest';
+import {describe, expect} from 'vitest';
+import {Consistency, StatementKind} from '../../src/index.js';
+import {FakeFleet} from './fake-fleet.js';
+
+const values = fc.oneof(
+	fc.anything(),
+	fc.record({kind: fc.constantFrom('question', 'report', 'other'), number: fc.anything(), host: fc.anything(), records: fc.anything()}, {requiredKeys: []}),
+	fc.record({
+		kind: fc.constant('report'), number: fc.integer(), host: fc.constantFrom('host-1', 'stranger'),
+		records: fc.array(fc.record({group: fc.constantFrom('orders', 'other'), revision: fc.integer(), text: fc.oneof(fc.string(), fc.json())})),
+	}),
+);
+
+describe('messages between hosts', () => {
+	// Guards against datagrams that end the process, change a group or give permission.
+	test.prop([values], {numRuns: 40})('that are invalid or unasked for change nothing', async message => {
+		const fleet = new FakeFleet(3);
+		await fleet.settle();
+		fleet.deliver('host-0', message, 'host-1:1');
+		expect((await fleet.run(fleet.open(0, Consistency.Primary), StatementKind.Write)).error).toBeUndefined();
+	});
+});
