--- a/packages/direct/src/connection/client-connection.ts
+++ b/packages/direct/src/connection/client-connection.ts
@@ -8,6 +8,9 @@
 /** Messages of a client that are kept while one is executed; more are left in the socket. */
 const maximumQueuedMessages = 64;
 
+/** Time that a client has to close its side of an ended connection, in milliseconds. */
+const endTimeoutMilliseconds = 2000;
+
 /** What a connection needs of its host. */
 export type SessionHost = {
 	readonly isConfigured: boolean;
@@ -76,6 +79,9 @@
 		this.#isEnded = true;
 		this.#messages.length = 0;
 		this.#socket.end(lastMessage, 'latin1');
+		this.#socket.setTimeout(endTimeoutMilliseconds, () => {
+			this.#socket.destroy();
+		});
 	}
 
 	#receive(chunk: Buffer): void {
--- a/packages/direct/src/connection/client-listener.ts
+++ b/packages/direct/src/connection/client-listener.ts
@@ -6,6 +6,9 @@
 /** Connections that wait to be accepted; a reconnecting fleet of clients must not lose opening packets. */
 const backlog = 1024;
 
+/** File descriptors that are kept for instances, the store, the listeners and files. */
+const reservedDescriptors = 600;
+
 /** Accepts the connections of clients. */
 export class ClientListener {
 	readonly #server: Server;
@@ -36,8 +39,15 @@
 		return [...this.#connections].filter(connection => connection.isBusy).length;
 	}
 
-	/** Listens on an address. */
-	async listen(address: string, port: number): Promise<void> {
+	/**
+	 * Listens on an address.
+	 *
+	 * @param address - IP address.
+	 * @param port - Port.
+	 * @param descriptors - File descriptors that the process may open. Clients beyond them are refused at once.
+	 */
+	async listen(address: string, port: number, descriptors: number): Promise<void> {
+		this.#server.maxConnections = Math.max(1, descriptors - reservedDescriptors);
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
 			this.#server.listen({host: address, port, backlog}, resolve);
--- a/packages/direct/src/process/host-registration.ts
+++ b/packages/direct/src/process/host-registration.ts
@@ -4,8 +4,8 @@
 import {type HostRecord} from './host-record.js';
 import {hostPrefix} from './store-keys.js';
 
-/** Time that a write may take, in milliseconds. */
-const writeTimeoutMilliseconds = 1000;
+/** Time that a write may take, in milliseconds. A write that began just before the store returns is lost for as long. */
+const writeTimeoutMilliseconds = 500;
 
 /** Pause after a failed write, in milliseconds. */
 const failurePauseMilliseconds = 200;
--- a/packages/direct/src/process/promotion-coordinator.ts
+++ b/packages/direct/src/process/promotion-coordinator.ts
@@ -11,11 +11,14 @@
 import {callTimeoutMilliseconds, stepMilliseconds, type PromotionServices} from './promotion-services.js';
 import {promoterKey} from './store-keys.js';
 
-/** Time for which a host leaves a needed change to the promoter before it takes over the duty, in milliseconds. */
-const takeoverDelayMilliseconds = 700;
+/**
+ * Time for which a host leaves a needed change to the promoter before it takes over the duty, in milliseconds. It covers
+ * the announcement while the store takes a quarter of a second for a call.
+ */
+const takeoverDelayMilliseconds = 400;
 
 /** Further delay per rank among the other hosts, in milliseconds, so that they do not compete. */
-const takeoverStaggerMilliseconds = 250;
+const takeoverStaggerMilliseconds = 120;
 
 /** Time without progress after which another host takes over a change that was begun, in milliseconds. */
 const stalledChangeMilliseconds = authorityMilliseconds + promotionTimeoutMilliseconds;
