Tell a slow primary from a lost one, and end a flapping change

A primary whose statements took longer than the bound of suspicion was suspected by all hosts and replaced. Change: a promoter that never lost the primary does not give up. An accepted connection counts as a sign of life, and one is opened after 150 ms of silence. A reopened pool forgets what it observed before. Both tests fail without the changes.

--- a/packages/direct/src/connection/instance-pool.ts
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -22,6 +22,9 @@
  */
 const unresponsiveMilliseconds = 250;
 
+/** Silence after which a connection is opened to find out whether the instance can be reached, in milliseconds. */
+const probeSilenceMilliseconds = 150;
+
 /** Time after a sign of life in which an instance is not asked for another one, in milliseconds. */
 const probeSpacingMilliseconds = 100;
 
@@ -228,9 +231,11 @@
 		await drained;
 	}
 
-	/** Grants connections again after `close`. */
+	/** Grants connections again after `close`. What was observed before says nothing about the instance any more. */
 	reopen(): void {
 		this.#closed = false;
+		this.#unansweredSince = undefined;
+		this.#unreachableSince = undefined;
 	}
 
 	/** Opens a connection in advance if there is none. */
@@ -264,7 +269,10 @@
 			}
 
 			this.#dialIfNeeded();
-		} else if (this.#unansweredSince !== undefined && this.#dialing.size === 0 && this.#busy.size === 0 && now >= this.#dialBlockedUntil && !this.#closed) {
+		}
+
+		// A connection that is accepted tells a slow instance from one that can't be reached.
+		if (this.getSilence(now) >= probeSilenceMilliseconds && this.#dialing.size === 0 && now >= this.#dialBlockedUntil && !this.#closed) {
 			void this.#dial();
 		}
 	}
@@ -361,7 +369,9 @@
 		const startedAt = this.#timer.now();
 		this.#dialing.set(attempt, startedAt);
 		this.#unansweredSince ??= startedAt;
-		const outcome = await this.#dialer.dial(this.instance, dialTimeoutMilliseconds);
+		const outcome = await this.#dialer.dial(this.instance, dialTimeoutMilliseconds, () => {
+			this.#heard();
+		});
 		this.#dialing.delete(attempt);
 		this.#metrics.countConnection(this.instance.group, outcome.isOk() ? 'opened' : outcome.error.failure);
 		if (outcome.isErr()) {
--- a/packages/direct/src/connection/upstream-channel.ts
+++ b/packages/direct/src/connection/upstream-channel.ts
@@ -90,6 +90,7 @@
 	 *
 	 * @param instance - Instance to connect to.
 	 * @param timeoutMilliseconds - Time after which the attempt fails.
+	 * @param onReached - Called when the instance's machine has accepted the connection; the instance may be busy.
 	 */
-	dial(instance: InstanceEntry, timeoutMilliseconds: number): Promise<Result<UpstreamChannel, ChannelError>>;
+	dial(instance: InstanceEntry, timeoutMilliseconds: number, onReached?: () => void): Promise<Result<UpstreamChannel, ChannelError>>;
 };
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -26,7 +26,7 @@
 import {SuspensionDetector} from './suspension-detector.js';
 
 /** Interval at which time limits are checked, in milliseconds. */
-const sweepIntervalMilliseconds = 25;
+const sweepIntervalMilliseconds = 40;
 
 /**
  * Time since the last renewal of the permission to use primaries after which the host asks for no new clients, in
--- a/packages/direct/src/process/primary-change.ts
+++ b/packages/direct/src/process/primary-change.ts
@@ -20,25 +20,35 @@
 /** Greatest age of the last proof that this host holds the duty when a promotion is ordered, in milliseconds. */
 const freshDutyMilliseconds = 500;
 
+/** Why a primary is replaced. */
+export enum ChangeReason {
+	/** It is about to stop and still serves, so no commit needs to be lost. */
+	Leaving = 'leaving',
+	/** This host and most others can't reach it. */
+	Lost = 'lost',
+	/** Most hosts can't reach it, but this one can. */
+	LostToOthers = 'lost-to-others',
+}
+
 /** One attempt to replace the primary of a group. */
 export class PrimaryChange {
 	readonly #services: PromotionServices;
 	readonly #group: InstanceGroupState;
 	readonly #duty: PromotionDuty;
-	readonly #isPlanned: boolean;
+	readonly #reason: ChangeReason;
 	readonly #startedAt: number;
 
 	/**
 	 * @param services - Services.
 	 * @param group - Group whose primary changes.
 	 * @param duty - Duty that this host holds.
-	 * @param isPlanned - Whether the primary still serves, so that no commit needs to be lost.
+	 * @param reason - Why the primary is replaced.
 	 */
-	constructor(services: PromotionServices, group: InstanceGroupState, duty: PromotionDuty, isPlanned: boolean) {
+	constructor(services: PromotionServices, group: InstanceGroupState, duty: PromotionDuty, reason: ChangeReason) {
 		this.#services = services;
 		this.#group = group;
 		this.#duty = duty;
-		this.#isPlanned = isPlanned;
+		this.#reason = reason;
 		this.#startedAt = services.timer.now();
 	}
 
@@ -56,10 +66,11 @@
 		}
 
 		log.write('change-announced', {
-			group: this.#group.name, primary, planned: this.#isPlanned, fencingToken: this.#duty.fencingToken, change: announced.changeIdentifier,
+			group: this.#group.name, primary, reason: this.#reason, fencingToken: this.#duty.fencingToken, change: announced.changeIdentifier,
 		});
-		// An order of an earlier attempt may still take effect, so a change that came so far is never given up.
-		const mayGiveUp = candidate === undefined && !this.#isPlanned;
+		// An order of an earlier attempt may still take effect, so a change that came so far is never given up. An answer
+		// to a host that could reach the primary all the time is no news either: it is lost to the others.
+		const mayGiveUp = candidate === undefined && this.#reason === ChangeReason.Lost;
 		const outcome = await new ConfirmationWait(this.#services, this.#group, announced).run(mayGiveUp);
 		if (outcome === ConfirmationOutcome.PrimaryAnswers) {
 			log.write('change-given-up', {group: this.#group.name, primary, reason: 'the primary answers again'});
@@ -128,7 +139,7 @@
 		const {timer, dialer} = this.#services;
 		const until = timer.now() + catchUpMilliseconds;
 		const primary = this.#group.instances.get(announced.primary);
-		const primaryStatus = this.#isPlanned && primary ? await readInstanceStatus(primary.pool.instance, dialer, timer) : undefined;
+		const primaryStatus = this.#reason === ChangeReason.Leaving && primary ? await readInstanceStatus(primary.pool.instance, dialer, timer) : undefined;
 		for (;;) {
 			const {best, isQuorum} = await this.#findMostAdvanced(announced.primary);
 			const isCaughtUp = best !== undefined && (primaryStatus === undefined || compareLogPositions(best.status.received, primaryStatus.received) >= 0);
--- a/packages/direct/src/process/promotion-coordinator.ts
+++ b/packages/direct/src/process/promotion-coordinator.ts
@@ -6,7 +6,7 @@
 import {InstanceRole} from './instance-entry.js';
 import {type InstanceGroupState} from './instance-group-state.js';
 import {authorityMilliseconds} from './primary-authority.js';
-import {PrimaryChange, promotionTimeoutMilliseconds} from './primary-change.js';
+import {ChangeReason, PrimaryChange, promotionTimeoutMilliseconds} from './primary-change.js';
 import {parsePromotionDuty, type PromotionDuty} from './promotion-duty.js';
 import {callTimeoutMilliseconds, stepMilliseconds, type PromotionServices} from './promotion-services.js';
 import {promoterKey} from './store-keys.js';
@@ -195,13 +195,20 @@
 			void this.#runOnce(group, async () => {
 				const held = duty ?? await this.#takeDuty();
 				if (held) {
-					const isPlanned = this.#isLeaving(group, record) && !this.#isLost(group);
-					await new PrimaryChange(this.#services, group, held, isPlanned).run(record);
+					await new PrimaryChange(this.#services, group, held, this.#getReason(group, record)).run(record);
 				}
 			});
 		}
 	}
 
+	#getReason(group: InstanceGroupState, record: GroupRecord): ChangeReason {
+		if (this.#isLeaving(group, record) && !this.#isLost(group)) {
+			return ChangeReason.Leaving;
+		}
+
+		return this.#getSuspecting(group).includes(this.#services.hostName) ? ChangeReason.Lost : ChangeReason.LostToOthers;
+	}
+
 	#getResponsibility(record: GroupRecord): Responsibility {
 		const {fleet, hostName, registration} = this.#services;
 		const duty = this.#readDuty();
--- a/packages/direct/tests/fleet/fake-fleet.ts
+++ b/packages/direct/tests/fleet/fake-fleet.ts
@@ -99,7 +99,7 @@
 					decodeInstance: (_id, text) => ok(JSON.parse(text) as InstanceEntry),
 				},
 				dialer: {
-					dial: async (instance, timeoutMilliseconds) => {
+					dial: async (instance, timeoutMilliseconds, onReached) => {
 						const target = this.group.get(instance.id);
 						if (target.cutFrom.has(name)) {
 							await this.timer.sleep(timeoutMilliseconds);
@@ -107,6 +107,10 @@
 						}
 
 						await this.timer.sleep(2);
+						if (!target.isDown) {
+							onReached?.();
+						}
+
 						return target.isDown
 							? err({failure: ChannelFailure.Broken, message: 'refused'})
 							: ok(new FakeChannel(target, this.group, name, this.timer));
--- a/packages/direct/tests/fleet/promotion.test.ts
+++ b/packages/direct/tests/fleet/promotion.test.ts
@@ -41,6 +41,24 @@
 		// Hosts that are cut off keep their permission for another 0.8 s.
 		limit: writeGapTargetMilliseconds + 1000,
 	},
+	{
+		name: 'all hosts but the promoter and another one lose the primary',
+		strike(fleet) {
+			for (const {name} of fleet.hosts.slice(2)) {
+				fleet.group.get('orders-0').cutFrom.add(name);
+			}
+		},
+		isPromoted: true,
+		limit: writeGapTargetMilliseconds,
+	},
+	{
+		name: 'the primary takes longer for each statement than the bound of suspicion',
+		strike(fleet) {
+			fleet.group.get('orders-0').serviceMilliseconds = 700;
+		},
+		isPromoted: false,
+		limit: 1500,
+	},
 	{
 		name: 'two of six hosts lose the primary',
 		strike(fleet) {
