Refuse at once on an isolated host, and suspect a primary after 0.3 s

Cause: a host without permission held requests for their whole time limit, and the promoter missed its own suspicion while its record was being written. Change: such a host refuses, as not run, what needs a primary or a fresher position. Accepted connections allow a shorter bound of suspicion.

--- a/packages/direct/src/connection/instance-pool.ts
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -23,7 +23,7 @@
 const unresponsiveMilliseconds = 250;
 
 /** Silence after which a connection is opened to find out whether the instance can be reached, in milliseconds. */
-const probeSilenceMilliseconds = 150;
+const probeSilenceMilliseconds = 120;
 
 /** Time after a sign of life in which an instance is not asked for another one, in milliseconds. */
 const probeSpacingMilliseconds = 100;
--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -35,6 +35,9 @@
 const minimumLagPenaltyMilliseconds = 50;
 const maximumLagPenaltyMilliseconds = 800;
 
+/** Why a host without permission to use primaries refuses at once what needs one. */
+const isolatedReason = 'the host reaches neither the store nor a majority of the hosts';
+
 /** Greatest number of attempts of one statement. */
 const maximumAttempts = 12;
 
@@ -92,15 +95,17 @@
 	readonly #timer: TimerService;
 	readonly #log: EventLog;
 	readonly #availabilityZone: string;
+	readonly #isIsolated: () => boolean;
 	readonly #refresher: PositionRefresher;
 
 	/**
 	 * @param options - Services, and the zone of this host.
 	 */
-	constructor(options: {timer: TimerService; log: EventLog; availabilityZone: string}) {
+	constructor(options: {timer: TimerService; log: EventLog; availabilityZone: string; isIsolated: () => boolean}) {
 		this.#timer = options.timer;
 		this.#log = options.log;
 		this.#availabilityZone = options.availabilityZone;
+		this.#isIsolated = options.isIsolated;
 		this.#refresher = new PositionRefresher(options.timer);
 	}
 
@@ -122,6 +127,11 @@
 		for (let attempts = 0; attempts < maximumAttempts && this.#timer.now() < request.deadline;) {
 			const minimumPosition = this.#getReplicaPosition(work);
 			if (minimumPosition === PositionNeed.Fresher) {
+				if (this.#isIsolated()) {
+					reason = isolatedReason;
+					break;
+				}
+
 				// The primary answers a status request sooner than a read, and its slots stay free for writes.
 				await this.#measureWait(work, async () => this.#refreshOrWait(work.group, request.deadline));
 
@@ -130,6 +140,11 @@
 
 			const target = this.#chooseTarget(work.group, minimumPosition, tried);
 			if (!target) {
+				if (this.#isIsolated()) {
+					reason = isolatedReason;
+					break;
+				}
+
 				await this.#measureWait(work, async () => this.#waitForChange(work.group, request.deadline));
 				continue;
 			}
--- a/packages/direct/src/process/promotion-coordinator.ts
+++ b/packages/direct/src/process/promotion-coordinator.ts
@@ -206,7 +206,8 @@
 			return ChangeReason.Leaving;
 		}
 
-		return this.#getSuspecting(group).includes(this.#services.hostName) ? ChangeReason.Lost : ChangeReason.LostToOthers;
+		// The store may not hold this host's own suspicion yet.
+		return this.#services.registration.record.suspected.includes(group.name) ? ChangeReason.Lost : ChangeReason.LostToOthers;
 	}
 
 	#getResponsibility(record: GroupRecord): Responsibility {
--- a/packages/direct/src/request/suspicion.ts
+++ b/packages/direct/src/request/suspicion.ts
@@ -8,11 +8,11 @@
 	readonly unreachableMilliseconds: number;
 };
 
-/** Silence after which a primary is suspected, in milliseconds: several times the longest usual statement. */
-const suspiciousSilenceMilliseconds = 400;
+/** Silence after which a primary is suspected, in milliseconds. A slow one accepts connections, which ends the silence. */
+const suspiciousSilenceMilliseconds = 300;
 
 /** Silence after which a primary is suspected that another host suspects already, in milliseconds. */
-const doubtedSilenceMilliseconds = 200;
+const doubtedSilenceMilliseconds = 180;
 
 /** Time for which connection attempts must fail before a primary is suspected, in milliseconds; one more attempt fits in. */
 const suspiciousUnreachableMilliseconds = 150;
