Drop unused state of the pool and name the runner's check for what it is

Reading the change as a newcomer: a time of last use was written and never read, connection attempts were kept in a map of which only the size counted, and two checks of different meaning were both called isolated. No change of behaviour.

--- a/packages/direct/src/connection/instance-pool.ts
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -50,7 +50,7 @@
 
 /** Connections of this host to one instance, and the requests that wait for one. */
 export class InstancePool implements Disposable {
-	/** Instance to which the connections lead. */
+	/** Newest entry of the instance to which the connections lead. */
 	instance: InstanceEntry;
 	readonly #dialer: UpstreamDialer;
 	readonly #timer: TimerService;
@@ -58,10 +58,11 @@
 	readonly #metrics: HostMetrics;
 	#maximumConnections: number;
 	readonly #idle: PooledConnection[] = [];
+	/** Connections in use, with the monotonic time at which the statement under way was sent; 0 between statements. */
 	readonly #busy = new Map<PooledConnection, number>();
 	#waiting: Waiter[] = [];
-	/** Monotonic start times of connection attempts that are under way. */
-	readonly #dialing = new Map<symbol, number>();
+	/** Connection attempts that are under way. */
+	#dialing = 0;
 	#dialBlockedUntil = 0;
 	#closed = false;
 	#disposed = false;
@@ -189,7 +190,6 @@
 		if (connection.channel.closed || this.#disposed || this.#closed || this.#idle.length + this.#busy.size >= this.#maximumConnections) {
 			connection.channel[Symbol.dispose]();
 		} else {
-			connection.idleSince = this.#timer.now();
 			connection.channel.onClose = () => {
 				this.#removeIdle(connection);
 			};
@@ -210,10 +210,7 @@
 	async close(graceMilliseconds: number): Promise<void> {
 		this.#closed = true;
 		this.#rejectWaiting(AcquireFailure.Closed);
-		for (const connection of this.#idle.splice(0)) {
-			connection.channel[Symbol.dispose]();
-		}
-
+		this.#closeIdle();
 		if (this.#busy.size === 0) {
 			return;
 		}
@@ -240,7 +237,7 @@
 
 	/** Opens a connection in advance if there is none. */
 	warmUp(): void {
-		if (this.#idle.length + this.#busy.size + this.#dialing.size === 0 && !this.#closed) {
+		if (this.#idle.length + this.#busy.size + this.#dialing === 0 && !this.#closed) {
 			void this.#dial();
 		}
 	}
@@ -272,22 +269,21 @@
 		}
 
 		// A connection that is accepted tells a slow instance from one that can't be reached.
-		if (this.getSilence(now) >= probeSilenceMilliseconds && this.#dialing.size === 0 && now >= this.#dialBlockedUntil && !this.#closed) {
+		if (this.getSilence(now) >= probeSilenceMilliseconds && this.#dialing === 0 && now >= this.#dialBlockedUntil && !this.#closed) {
 			void this.#dial();
 		}
 	}
 
-	/** Closes idle connections that were silent for long, because a partition may have cut them without a sign. */
-	closeIdle(): void {
-		for (const connection of this.#idle.splice(0)) {
-			connection.channel[Symbol.dispose]();
-		}
-	}
-
 	[Symbol.dispose](): void {
 		this.#disposed = true;
 		this.#rejectWaiting(AcquireFailure.Closed);
-		this.closeIdle();
+		this.#closeIdle();
+	}
+
+	#closeIdle(): void {
+		for (const connection of this.#idle.splice(0)) {
+			connection.channel[Symbol.dispose]();
+		}
 	}
 
 	#rejectWaiting(failure: AcquireFailure): void {
@@ -356,23 +352,22 @@
 
 	#dialIfNeeded(): void {
 		while (!this.#closed && !this.#disposed
-			&& this.#waiting.length > this.#dialing.size
+			&& this.#waiting.length > this.#dialing
 			&& this.#hasRoom()
-			&& this.#idle.length + this.#busy.size + this.#dialing.size < this.#maximumConnections
+			&& this.#idle.length + this.#busy.size + this.#dialing < this.#maximumConnections
 			&& this.#timer.now() >= this.#dialBlockedUntil) {
 			void this.#dial();
 		}
 	}
 
 	async #dial(): Promise<void> {
-		const attempt = Symbol('dial');
 		const startedAt = this.#timer.now();
-		this.#dialing.set(attempt, startedAt);
+		this.#dialing++;
 		this.#unansweredSince ??= startedAt;
 		const outcome = await this.#dialer.dial(this.instance, dialTimeoutMilliseconds, () => {
 			this.#heard();
 		});
-		this.#dialing.delete(attempt);
+		this.#dialing--;
 		this.#metrics.countConnection(this.instance.group, outcome.isOk() ? 'opened' : outcome.error.failure);
 		if (outcome.isErr()) {
 			this.#handleDialFailure(outcome.error, startedAt);
@@ -405,7 +400,7 @@
 
 	#heard(at = this.#timer.now()): void {
 		this.#lastHeardAt = at;
-		const isOutstanding = this.#dialing.size > 0 || [...this.#busy.values()].some(sentAt => sentAt > 0);
+		const isOutstanding = this.#dialing > 0 || [...this.#busy.values()].some(sentAt => sentAt > 0);
 		this.#unansweredSince = isOutstanding ? at : undefined;
 		if (this.#unreachableSince !== undefined) {
 			this.#log.write('instance-reachable', {
--- a/packages/direct/src/connection/pooled-connection.ts
+++ b/packages/direct/src/connection/pooled-connection.ts
@@ -13,8 +13,6 @@
 export class PooledConnection {
 	/** Connection to the instance. */
 	readonly channel: UpstreamChannel;
-	/** Monotonic time of the last use. */
-	idleSince = 0;
 	readonly #values = new Map<string, string>();
 	readonly #prepared = new Set<string>();
 
--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -36,7 +36,7 @@
 const maximumLagPenaltyMilliseconds = 800;
 
 /** Why a host without permission to use primaries refuses at once what needs one. */
-const isolatedReason = 'the host reaches neither the store nor a majority of the hosts';
+const unauthorizedReason = 'the host reaches neither the store nor a majority of the hosts';
 
 /** Greatest number of attempts of one statement. */
 const maximumAttempts = 12;
@@ -95,17 +95,17 @@
 	readonly #timer: TimerService;
 	readonly #log: EventLog;
 	readonly #availabilityZone: string;
-	readonly #isIsolated: () => boolean;
+	readonly #isUnauthorized: () => boolean;
 	readonly #refresher: PositionRefresher;
 
 	/**
 	 * @param options - Services, and the zone of this host.
 	 */
-	constructor(options: {timer: TimerService; log: EventLog; availabilityZone: string; isIsolated: () => boolean}) {
+	constructor(options: {timer: TimerService; log: EventLog; availabilityZone: string; isUnauthorized: () => boolean}) {
 		this.#timer = options.timer;
 		this.#log = options.log;
 		this.#availabilityZone = options.availabilityZone;
-		this.#isIsolated = options.isIsolated;
+		this.#isUnauthorized = options.isUnauthorized;
 		this.#refresher = new PositionRefresher(options.timer);
 	}
 
@@ -127,21 +127,20 @@
 		for (let attempts = 0; attempts < maximumAttempts && this.#timer.now() < request.deadline;) {
 			const minimumPosition = this.#getReplicaPosition(work);
 			if (minimumPosition === PositionNeed.Fresher) {
-				if (this.#isIsolated()) {
-					reason = isolatedReason;
+				if (this.#isUnauthorized()) {
+					reason = unauthorizedReason;
 					break;
 				}
 
 				// The primary answers a status request sooner than a read, and its slots stay free for writes.
 				await this.#measureWait(work, async () => this.#refreshOrWait(work.group, request.deadline));
-
 				continue;
 			}
 
 			const target = this.#chooseTarget(work.group, minimumPosition, tried);
 			if (!target) {
-				if (this.#isIsolated()) {
-					reason = isolatedReason;
+				if (this.#isUnauthorized()) {
+					reason = unauthorizedReason;
 					break;
 				}
 
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -117,7 +117,7 @@
 				this.#updateGroupRecord(this.#groups.get(group), record, revision);
 			},
 		});
-		this.#runner = new StatementRunner({timer, log, availabilityZone, isIsolated: () => this.#options.timer.now() > this.#authority.validUntil});
+		this.#runner = new StatementRunner({timer, log, availabilityZone, isUnauthorized: () => timer.now() > this.#authority.validUntil});
 	}
 
 	/** Whether the host serves clients and wants new ones. */
