Acknowledge no write long after the permission has run out

Cause: a write at a primary that took nearly a second could be answered after the host's permission had run out and another primary had been promoted. The test fails without the change.

--- a/packages/direct/src/connection/client-session.ts
+++ b/packages/direct/src/connection/client-session.ts
@@ -12,7 +12,7 @@
 import {type DeploymentConfiguration, type Route} from '../version/deployment-configuration.js';
 import {getPreparedName} from './pooled-connection.js';
 import {Progress, runStatement} from './run-statement.js';
-import {createError, type HeldConnection, type StatementRunner} from './statement-runner.js';
+import {createError, type HeldConnection, type StatementRunner, unacknowledgedReason} from './statement-runner.js';
 import {rollBackAndRelease} from './roll-back-and-release.js';
 
 /** Pause before a statement of a transaction is sent again after the instance had no capacity, in milliseconds. */
@@ -272,10 +272,10 @@
 	async #runHeld(statement: Statement, transaction: Transaction, held: HeldConnection, definition?: PreparedDefinition): Promise<StatementResult> {
 		const {timer} = this.#services;
 		const {connection, pool, reign} = held;
-		const group = this.#services.getGroup(transaction.route.group);
 		const deadline = timer.now() + transaction.route.statementTimeoutMilliseconds;
 		for (;;) {
-			if (connection.channel.closed || (reign !== undefined && !group?.isReignCurrent(reign))) {
+			const isReplaced = reign !== undefined && !this.#services.getGroup(transaction.route.group)?.isReignCurrent(reign);
+			if (connection.channel.closed || isReplaced) {
 				return createError(StatementErrorCode.Aborted, 'the primary changed or its connection was lost');
 			}
 
@@ -290,23 +290,17 @@
 				{timer, deadline},
 			);
 			if (outcome.progress !== Progress.Answered) {
-				connection.channel[Symbol.dispose]();
-				this.#services.log.write('statement-unanswered', {
-					request: statement.identifier, group: transaction.route.group, instance: pool.instance.id, primary: reign !== undefined,
-					afterMilliseconds: Math.round(timer.now() - startedAt), sent: outcome.progress === Progress.Unanswered, reason: outcome.message,
-				});
-				const isDecisive = statement.kind === StatementKind.Commit && transaction.hasWritten && outcome.progress === Progress.Unanswered;
-				return createError(isDecisive ? StatementErrorCode.OutcomeUnknown : StatementErrorCode.Aborted, outcome.message);
+				return this.#handleHeldUnanswered(statement, transaction, held, {...outcome, afterMilliseconds: Math.round(timer.now() - startedAt)});
 			}
 
 			const {result, sentAt} = outcome;
 			pool.noteAnswered(connection, timer.now() - sentAt);
 			if (!result.error) {
-				this.#noteHeldSuccess(statement, transaction, result, sentAt);
-				return result;
+				return this.#acknowledgeHeld(statement, transaction, result, sentAt);
 			}
 
-			if (result.error.code !== StatementErrorCode.Overloaded || result.status !== TransactionStatus.InTransaction || timer.now() + busyPauseMilliseconds >= deadline) {
+			const isIntact = result.error.code === StatementErrorCode.Overloaded && result.status === TransactionStatus.InTransaction;
+			if (!isIntact || timer.now() + busyPauseMilliseconds >= deadline) {
 				return result;
 			}
 
@@ -314,6 +308,35 @@
 		}
 	}
 
+	/** Ends a transaction whose connection failed. Only a commit that was sent and has something to keep leaves a doubt. */
+	#handleHeldUnanswered(
+		statement: Statement,
+		transaction: Transaction,
+		{connection, pool, reign}: HeldConnection,
+		{progress, message, afterMilliseconds}: {progress: Progress; message: string; afterMilliseconds: number},
+	): StatementResult {
+		connection.channel[Symbol.dispose]();
+		const isSent = progress === Progress.Unanswered;
+		this.#services.log.write('statement-unanswered', {
+			request: statement.identifier, group: transaction.route.group, instance: pool.instance.id, primary: reign !== undefined,
+			afterMilliseconds, sent: isSent, reason: message,
+		});
+		const isDoubtful = isSent && statement.kind === StatementKind.Commit && transaction.hasWritten;
+		return createError(isDoubtful ? StatementErrorCode.OutcomeUnknown : StatementErrorCode.Aborted, message);
+	}
+
+	/** Passes a success on, unless it is a commit of a primary that may have been replaced meanwhile. */
+	#acknowledgeHeld(statement: Statement, transaction: Transaction, result: StatementResult, sentAt: number): StatementResult {
+		const reign = transaction.held?.reign;
+		const isWritten = statement.kind === StatementKind.Commit && transaction.hasWritten;
+		if (isWritten && reign !== undefined && !this.#services.getGroup(transaction.route.group)?.mayAcknowledge(reign)) {
+			return createError(StatementErrorCode.OutcomeUnknown, unacknowledgedReason);
+		}
+
+		this.#noteHeldSuccess(statement, transaction, result, sentAt);
+		return result;
+	}
+
 	#noteHeldSuccess(statement: Statement, {route, held, hasWritten}: Transaction, result: StatementResult, sentAt: number): void {
 		const reign = held?.reign;
 		if (reign === undefined || !result.position) {
--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -38,6 +38,9 @@
 /** Why a host without permission to use primaries refuses at once what needs one. */
 const unauthorizedReason = 'the host reaches neither the store nor a majority of the hosts';
 
+/** Why a write that succeeded at the primary is not acknowledged. */
+export const unacknowledgedReason = 'the primary may have been replaced before it answered';
+
 /** Greatest number of attempts of one statement. */
 const maximumAttempts = 12;
 
@@ -270,6 +273,11 @@
 			work.group.ledger.observe(target.reign, result.position, sentAt);
 		}
 
+		if (target.reign !== undefined && !result.error && !mayRepeat(work) && !work.group.mayAcknowledge(target.reign)) {
+			target.pool.release(connection);
+			return {outcome: {result: createError(StatementErrorCode.OutcomeUnknown, unacknowledgedReason)}};
+		}
+
 		return result.error ? this.#handleError(work, target, connection, result) : this.#succeed(work, target, connection, result);
 	}
 
--- a/packages/direct/src/process/instance-group-state.ts
+++ b/packages/direct/src/process/instance-group-state.ts
@@ -88,6 +88,14 @@
 		return this.#record?.phase === GroupPhase.Settled && this.#record.revision === reign && this.#authority.isValid();
 	}
 
+	/**
+	 * Returns whether a write that the primary of a reign has answered may be acknowledged. A promoter leaves a margin after
+	 * the permission has run out; after it, the write may have been committed at a replaced primary.
+	 */
+	mayAcknowledge(reign: number): boolean {
+		return this.#record?.phase === GroupPhase.Settled && this.#record.revision === reign && this.#authority.isWithinMargin();
+	}
+
 	/** Wakes whoever waits for a change of the group. */
 	notifyChanged(): void {
 		const listeners = this.#changeListeners;
--- a/packages/direct/src/process/primary-authority.ts
+++ b/packages/direct/src/process/primary-authority.ts
@@ -81,6 +81,11 @@
 		return !this.#checkSuspension() && this.#timer.now() < this.#validUntil;
 	}
 
+	/** Returns whether the permission holds or has run out by less than the margin that promoters leave. */
+	isWithinMargin(): boolean {
+		return !this.#checkSuspension() && this.#timer.now() < this.#validUntil + authorityMarginMilliseconds;
+	}
+
 	#checkSuspension(): boolean {
 		if (!this.#suspension.check()) {
 			return false;
--- a/packages/direct/tests/fleet/promotion.test.ts
+++ b/packages/direct/tests/fleet/promotion.test.ts
@@ -267,6 +267,18 @@
 });
 
 describe('permission to use primaries', () => {
+	// Guards against a commit at a replaced primary that is acknowledged because its response took long.
+	it('does not cover an acknowledgement that arrives long after it has run out', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		fleet.group.get('orders-0').serviceMilliseconds = 950;
+		const running = fleet.open(0, Consistency.Primary).execute(fleet.createStatement(StatementKind.Write));
+		await fleet.timer.advance(10);
+		isolate(fleet.hosts[0]!, fleet, [fleet.hosts[0]!.name]);
+		await fleet.timer.advance(1000);
+		expect((await running).error?.code).toBe(StatementErrorCode.OutcomeUnknown);
+	});
+
 	// Guards against work at a replaced primary after the monotonic clock stood still.
 	it('ends when the process may have been suspended', async () => {
 		const fleet = new FakeFleet();
