--- a/packages/core/src/request/index.ts
+++ b/packages/core/src/request/index.ts
@@ -3,6 +3,7 @@
 export * from './log-position-schema.js';
 export * from './rank.js';
 export * from './refusal-reason.js';
+export * from './rendezvous-hash.js';
 export * from './request-kind.js';
 export * from './transaction-status.js';
 export type * from './upstream-request.js';
--- a/packages/daemon/src/process/membership/monitoring-ring.ts
+++ b/packages/daemon/src/process/membership/monitoring-ring.ts
@@ -1,4 +1,4 @@
-import {getRendezvousWeight} from './rendezvous-hash.js';
+import {getRendezvousWeight} from '@tarragonstack/core/request/rendezvous-hash';
 
 /** Number of peers that a host monitors at most. */
 export const maximumMonitoredPeers = 4;
--- a/packages/daemon/src/process/membership/rendezvous-ownership-table.ts
+++ b/packages/daemon/src/process/membership/rendezvous-ownership-table.ts
@@ -1,7 +1,7 @@
+import {chooseByRendezvous, getRendezvousWeight} from '@tarragonstack/core/request/rendezvous-hash';
 import {HostState, type HostDirectory} from '../host-directory.js';
 import {type OwnershipTable} from '../ownership-table.js';
 import {type ConfigurationStore} from '../../version/configuration-store.js';
-import {chooseByRendezvous, getRendezvousWeight} from './rendezvous-hash.js';
 
 /** Ownership by rendezvous hashing over the live hosts of an instance's zone, or over all live hosts if it has none. */
 export class RendezvousOwnershipTable implements OwnershipTable, Disposable {
--- a/packages/daemon/src/version/fleet-configuration-store.ts
+++ b/packages/daemon/src/version/fleet-configuration-store.ts
@@ -2,9 +2,9 @@
 	z, configurationKey, configurationSchema, maximumConfigurationBytes, MetricName,
 	type Configuration, type KeyValueEntry, type KeyValueService, type Logger, type Metrics, type TimerService,
 } from '@tarragonstack/core';
+import {chooseByRendezvous} from '@tarragonstack/core/request/rendezvous-hash';
 import {PeerMessageKind, type PeerNetwork} from '../connection/peer-network.js';
 import {HostState, type HostDirectory} from '../process/host-directory.js';
-import {chooseByRendezvous} from '../process/membership/rendezvous-hash.js';
 import {CallBudget} from './call-budget.js';
 import {
 	applyConfigurationDelta, configurationDeltaSchema, createConfigurationDelta,
--- a/packages/direct/src/connection/instance-pool.ts
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -16,6 +16,9 @@
 /** Delay before another attempt when the instance has no connection to spare, in milliseconds. */
 const fullBackoffMilliseconds = 250;
 
+/** Delay before another gateway is tried after one failed, in milliseconds. */
+const relayBackoffMilliseconds = 20;
+
 /**
  * Silence after which requests go elsewhere if they can, in milliseconds: several times a usual statement. It is much
  * shorter than the silence after which a primary is replaced, because a wrong guess costs only a detour.
@@ -42,6 +45,14 @@
 	Closed = 'closed',
 }
 
+/** How a host reaches an instance. */
+export type InstanceRoute = {
+	/** Greatest number of connections. */
+	readonly maximumConnections: number;
+	/** Opens connections through gateways; missing if the host connects to the instance itself. */
+	readonly relay?: UpstreamDialer | undefined;
+};
+
 type Waiter = {
 	readonly request: WaitingRequest;
 	readonly context: SessionContext;
@@ -56,7 +67,7 @@
 	readonly #timer: TimerService;
 	readonly #log: EventLog;
 	readonly #metrics: HostMetrics;
-	#maximumConnections: number;
+	#route: InstanceRoute;
 	readonly #idle: PooledConnection[] = [];
 	/** Connections in use, with the monotonic time at which the statement under way was sent; 0 between statements. */
 	readonly #busy = new Map<PooledConnection, number>();
@@ -71,21 +82,21 @@
 	/** Monotonic time of the first statement or connection attempt since the last sign of life. */
 	#unansweredSince: number | undefined;
 	#serviceTime = initialServiceTimeMilliseconds;
-	readonly #window = new CongestionWindow(() => this.#maximumConnections);
+	readonly #window = new CongestionWindow(() => this.#route.maximumConnections);
 	#drained: (() => void) | undefined;
 
 	/**
 	 * @param instance - Instance to connect to.
-	 * @param dialer - Opens the connections.
-	 * @param options - Services and the greatest number of connections.
+	 * @param dialer - Opens connections of this host.
+	 * @param options - Services and the first route.
 	 */
-	constructor(instance: InstanceEntry, dialer: UpstreamDialer, options: {timer: TimerService; log: EventLog; metrics: HostMetrics; maximumConnections: number}) {
+	constructor(instance: InstanceEntry, dialer: UpstreamDialer, options: {timer: TimerService; log: EventLog; metrics: HostMetrics; route: InstanceRoute}) {
 		this.instance = instance;
 		this.#dialer = dialer;
 		this.#timer = options.timer;
 		this.#log = options.log;
 		this.#metrics = options.metrics;
-		this.#maximumConnections = options.maximumConnections;
+		this.#route = options.route;
 		this.#lastHeardAt = options.timer.now();
 	}
 
@@ -109,9 +120,20 @@
 		return this.#busy.size + this.#waiting.length;
 	}
 
-	/** Changes the greatest number of connections; connections above it are closed when they are returned. */
-	setMaximumConnections(value: number): void {
-		this.#maximumConnections = value;
+	/** Whether gateways run the statements of this host. */
+	get isRelayed(): boolean {
+		return this.#route.relay !== undefined;
+	}
+
+	/** Changes the route; connections that do not belong to it are closed when they are returned. */
+	setRoute(route: InstanceRoute): void {
+		const {isRelayed} = this;
+		this.#route = route;
+		if (isRelayed !== this.isRelayed) {
+			this.#log.write('instance-route', {instance: this.instance.id, group: this.instance.group, relayed: this.isRelayed});
+			this.#closeIdle();
+			this.#dialIfNeeded();
+		}
 	}
 
 	/**
@@ -187,7 +209,8 @@
 	/** Returns a connection; it serves the next request, or is closed when it can't be used any more. */
 	release(connection: PooledConnection): void {
 		this.#busy.delete(connection);
-		if (connection.channel.closed || this.#disposed || this.#closed || this.#idle.length + this.#busy.size >= this.#maximumConnections) {
+		if (connection.channel.closed || this.#disposed || this.#closed || connection.isRelayed !== this.isRelayed
+			|| this.#idle.length + this.#busy.size >= this.#route.maximumConnections) {
 			connection.channel[Symbol.dispose]();
 		} else {
 			connection.channel.onClose = () => {
@@ -246,7 +269,7 @@
 	probe(): void {
 		const isRecent = this.#timer.now() - this.#lastHeardAt < probeSpacingMilliseconds;
 		if (this.#unansweredSince === undefined && !isRecent && !this.#closed && !this.#disposed) {
-			void this.#dial();
+			void this.#dialDirectly();
 		}
 	}
 
@@ -270,7 +293,7 @@
 
 		// A connection that is accepted tells a slow instance from one that can't be reached.
 		if (this.getSilence(now) >= probeSilenceMilliseconds && this.#dialing === 0 && now >= this.#dialBlockedUntil && !this.#closed) {
-			void this.#dial();
+			void this.#dialDirectly();
 		}
 	}
 
@@ -354,13 +377,18 @@
 		while (!this.#closed && !this.#disposed
 			&& this.#waiting.length > this.#dialing
 			&& this.#hasRoom()
-			&& this.#idle.length + this.#busy.size + this.#dialing < this.#maximumConnections
+			&& this.#idle.length + this.#busy.size + this.#dialing < this.#route.maximumConnections
 			&& this.#timer.now() >= this.#dialBlockedUntil) {
 			void this.#dial();
 		}
 	}
 
 	async #dial(): Promise<void> {
+		await (this.#route.relay ? this.#dialGateway(this.#route.relay) : this.#dialDirectly());
+	}
+
+	/** Opens a connection of this host. If gateways serve it, the connection only shows whether the instance answers. */
+	async #dialDirectly(): Promise<void> {
 		const startedAt = this.#timer.now();
 		this.#dialing++;
 		this.#unansweredSince ??= startedAt;
@@ -375,7 +403,24 @@
 		}
 
 		this.#heard();
-		const connection = new PooledConnection(outcome.value);
+		this.#add(new PooledConnection(outcome.value));
+	}
+
+	/** Opens a connection through a gateway. Its failure says nothing about the instance. */
+	async #dialGateway(relay: UpstreamDialer): Promise<void> {
+		this.#dialing++;
+		const outcome = await relay.dial(this.instance, dialTimeoutMilliseconds);
+		this.#dialing--;
+		this.#metrics.countConnection(this.instance.group, outcome.isOk() ? 'relayed' : 'not-relayed');
+		if (outcome.isErr()) {
+			this.#dialBlockedUntil = this.#timer.now() + relayBackoffMilliseconds;
+			return;
+		}
+
+		this.#add(new PooledConnection(outcome.value, true));
+	}
+
+	#add(connection: PooledConnection): void {
 		this.#busy.set(connection, 0);
 		this.release(connection);
 	}
--- a/packages/direct/src/connection/pooled-connection.ts
+++ b/packages/direct/src/connection/pooled-connection.ts
@@ -13,14 +13,18 @@
 export class PooledConnection {
 	/** Connection to the instance. */
 	readonly channel: UpstreamChannel;
+	/** Whether a gateway runs the statements. */
+	readonly isRelayed: boolean;
 	readonly #values = new Map<string, string>();
 	readonly #prepared = new Set<string>();
 
 	/**
 	 * @param channel - New connection that holds nothing yet.
+	 * @param isRelayed - Whether a gateway runs the statements.
 	 */
-	constructor(channel: UpstreamChannel) {
+	constructor(channel: UpstreamChannel, isRelayed = false) {
 		this.channel = channel;
+		this.isRelayed = isRelayed;
 	}
 
 	/** Returns whether the connection holds exactly the values of a session. */
--- /dev/null
+++ b/packages/direct/src/connection/relay-channel.ts
@@ -0,0 +1,197 @@
+import {type Socket} from 'node:net';
+import {encodeFrame, FrameDecoder} from '@tarragonstack/core/codec/frame-codec';
+import {TransactionStatus} from '@tarragonstack/core/request/transaction-status';
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {err, ok, type Result} from 'neverthrow';
+import {type StatementOrigin} from '../request/statement-origin.js';
+import {type StatementResult} from '../request/statement-result.js';
+import {parseRelayResponse, type RelayRequest, RelayRequestKind, type RelayResponse, RelayResponseKind, type RelayUrgency} from './relay-messages.js';
+import {ChannelFailure, type ChannelError, type InstanceStatus, type UpstreamChannel, type UpstreamStatement} from './upstream-channel.js';
+
+type Pending = {
+	readonly resolve: (outcome: Result<RelayResponse, ChannelError>) => void;
+	readonly deadline: Disposable;
+};
+
+/**
+ * Connection to an instance through a gateway. The gateway runs each batch, or each transaction, on one of its own
+ * connections.
+ */
+export class RelayChannel implements UpstreamChannel {
+	/** @inheritdoc */
+	onClose: (() => void) | undefined;
+	/** Called when the gateway did not answer in time. */
+	onSilent: (() => void) | undefined;
+	readonly #socket: Socket;
+	readonly #timer: TimerService;
+	readonly #decoder = new FrameDecoder();
+	#closed = false;
+	#isGatewayLeaving = false;
+	#isInTransaction = false;
+	#lastReceivedAt: number;
+	#pending: Pending | undefined;
+
+	/**
+	 * @param socket - Connection to the gateway.
+	 * @param timer - Monotonic clock.
+	 */
+	constructor(socket: Socket, timer: TimerService) {
+		this.#socket = socket;
+		this.#timer = timer;
+		this.#lastReceivedAt = timer.now();
+		socket.setNoDelay(true);
+		socket.on('data', chunk => {
+			this.#receive(chunk);
+		});
+		socket.on('error', error => {
+			this.#fail({failure: ChannelFailure.Broken, message: error.message});
+		});
+		socket.on('close', () => {
+			this.#fail({failure: ChannelFailure.Broken, message: 'the gateway closed the connection'});
+		});
+	}
+
+	/** Whether the channel can't be used any more; one to a gateway that stops serves nothing but its open transaction. */
+	get closed(): boolean {
+		return this.#closed || this.#isAbandoned;
+	}
+
+	/** Monotonic time at which the last response of the instance arrived; a refusal of the gateway is none. */
+	get lastReceivedAt(): number {
+		return this.#lastReceivedAt;
+	}
+
+	/**
+	 * Asks the gateway for its connections to an instance.
+	 *
+	 * @param instance - Identifier of the instance.
+	 * @param deadline - Monotonic time after which the channel is closed.
+	 */
+	async open(instance: string, deadline: number): Promise<Result<true, ChannelError>> {
+		const outcome = await this.#exchange({kind: RelayRequestKind.Open, instance}, deadline);
+		return outcome.andThen(response => this.#expect(response, RelayResponseKind.Opened)).map(() => true);
+	}
+
+	/** @inheritdoc */
+	async run(batch: readonly UpstreamStatement[], deadline: number, origin?: StatementOrigin): Promise<Result<StatementResult[], ChannelError>> {
+		const outcome = await this.#exchange({
+			kind: RelayRequestKind.Run, batch: [...batch], timeout: deadline - this.#timer.now(), ...(origin && {urgency: this.#describe(origin)}),
+		}, deadline);
+		return outcome.andThen(response => this.#expect(response, RelayResponseKind.Results)).andThen(({results}) => {
+			if (results.length === batch.length) {
+				this.#isInTransaction = results.at(-1)?.status !== TransactionStatus.Idle;
+				return ok(results as StatementResult[]);
+			}
+
+			return err(this.#fail({failure: ChannelFailure.Protocol, message: 'the gateway answered another number of statements'}));
+		});
+	}
+
+	/** @inheritdoc */
+	async readStatus(deadline: number): Promise<Result<InstanceStatus, ChannelError>> {
+		const outcome = await this.#exchange({kind: RelayRequestKind.ReadStatus, timeout: deadline - this.#timer.now()}, deadline);
+		return outcome.andThen(response => this.#expect(response, RelayResponseKind.Status)).map(({status}) => status);
+	}
+
+	/** Gateways end no lead of a primary; the promoter reaches the instances itself. */
+	async demote(): Promise<Result<InstanceStatus, ChannelError>> {
+		return err({failure: ChannelFailure.NotRelayed, message: 'a gateway does not relay the end of a lead'});
+	}
+
+	[Symbol.dispose](): void {
+		this.#fail({failure: ChannelFailure.Broken, message: 'the host closed the connection'});
+	}
+
+	get #isAbandoned(): boolean {
+		return this.#isGatewayLeaving && !this.#pending && !this.#isInTransaction;
+	}
+
+	#describe({request, reign}: StatementOrigin): RelayUrgency {
+		const now = this.#timer.now();
+		return {
+			priority: request.priority, waited: now - request.arrivedAt, onTimeFor: request.onTimeUntil - now, givenUpAfter: request.deadline - now,
+			...(reign !== undefined && {reign}),
+		};
+	}
+
+	async #exchange(message: RelayRequest, deadline: number): Promise<Result<RelayResponse, ChannelError>> {
+		if (this.#closed) {
+			return err({failure: ChannelFailure.NotRelayed, message: 'the connection to the gateway is closed'});
+		}
+
+		return new Promise(resolve => {
+			this.#pending = {
+				resolve,
+				deadline: this.#timer.schedule(deadline - this.#timer.now(), () => {
+					this.onSilent?.();
+					this.#fail({failure: ChannelFailure.Silent, message: 'no response of the gateway in time'});
+				}),
+			};
+			this.#socket.write(encodeFrame(message));
+		});
+	}
+
+	#receive(chunk: Buffer): void {
+		const frames = this.#decoder.push(chunk);
+		if (frames.isErr()) {
+			this.#fail({failure: ChannelFailure.Protocol, message: frames.error});
+			return;
+		}
+
+		for (const frame of frames.value) {
+			const response = parseRelayResponse(frame);
+			if (response.isErr()) {
+				this.#fail({failure: ChannelFailure.Protocol, message: response.error});
+				return;
+			}
+
+			this.#handle(response.value);
+		}
+	}
+
+	#handle(response: RelayResponse): void {
+		if (response.kind === RelayResponseKind.Leaving) {
+			this.#isGatewayLeaving = true;
+		} else if (this.#pending) {
+			const {resolve, deadline} = this.#pending;
+			this.#pending = undefined;
+			deadline[Symbol.dispose]();
+			resolve(ok(response));
+		}
+
+		// Only an idle channel of a pool has a listener; one in use is closed by the pool when it is returned.
+		if (this.#isAbandoned && this.onClose) {
+			this[Symbol.dispose]();
+		}
+	}
+
+	/** Returns a response of the expected kind; any other one ends the channel. */
+	#expect<Kind extends RelayResponseKind>(response: RelayResponse, kind: Kind): Result<Extract<RelayResponse, {kind: Kind}>, ChannelError> {
+		if (response.kind === kind) {
+			this.#lastReceivedAt = this.#timer.now();
+			return ok(response as Extract<RelayResponse, {kind: Kind}>);
+		}
+
+		if (response.kind === RelayResponseKind.Refused) {
+			return err(this.#fail({failure: ChannelFailure.NotRelayed, message: `the gateway refused: ${response.reason}`}));
+		}
+
+		return err(this.#fail(response.kind === RelayResponseKind.Failed
+			? {failure: response.failure, message: response.reason}
+			: {failure: ChannelFailure.Protocol, message: `an unexpected response ${response.kind}`}));
+	}
+
+	#fail(error: ChannelError): ChannelError {
+		if (!this.#closed) {
+			this.#closed = true;
+			this.#socket.destroy();
+			const pending = this.#pending;
+			this.#pending = undefined;
+			pending?.deadline[Symbol.dispose]();
+			pending?.resolve(err(error));
+			this.onClose?.();
+		}
+
+		return error;
+	}
+}
--- /dev/null
+++ b/packages/direct/src/connection/relay-dialer.ts
@@ -0,0 +1,76 @@
+import {connect} from 'node:net';
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {err, ok, type Result} from 'neverthrow';
+import {type EventLog} from '../process/event-log.js';
+import {type InstanceEntry} from '../process/instance-entry.js';
+import {chooseGateway, type GatewayCandidate} from '../request/gateway-plan.js';
+import {RelayChannel} from './relay-channel.js';
+import {ChannelFailure, type ChannelError, type UpstreamChannel, type UpstreamDialer} from './upstream-channel.js';
+
+/** Time that a gateway may take to accept a connection, in milliseconds; hosts are a few milliseconds apart. */
+const openTimeoutMilliseconds = 200;
+
+/** Time for which a gateway that failed is not chosen, in milliseconds: a restart of its process takes about as long. */
+const avoidanceMilliseconds = 1000;
+
+/** Gateway with its address. */
+export type Gateway = GatewayCandidate & {
+	/** Address of its peer listener, in the form `host:port`. */
+	readonly address: string;
+};
+
+/** Services of a `RelayDialer`. */
+export type RelayDialerOptions = {
+	readonly hostName: string;
+	readonly availabilityZone: string;
+	readonly timer: TimerService;
+	readonly log: EventLog;
+	/** Returns the gateways of an instance. */
+	getGateways(instance: string): readonly Gateway[];
+};
+
+/** Opens connections to instances through gateways. */
+export class RelayDialer implements UpstreamDialer {
+	readonly #options: RelayDialerOptions;
+	/** Monotonic times until which gateways that failed are not chosen. */
+	readonly #avoidedUntil = new Map<string, number>();
+
+	/**
+	 * @param options - Services.
+	 */
+	constructor(options: RelayDialerOptions) {
+		this.#options = options;
+	}
+
+	/** @inheritdoc */
+	async dial(instance: InstanceEntry): Promise<Result<UpstreamChannel, ChannelError>> {
+		const {timer, hostName, availabilityZone, getGateways} = this.#options;
+		const now = timer.now();
+		const gateway = chooseGateway(getGateways(instance.id), {
+			hostName, availabilityZone, instance: instance.id, isAvoided: name => now < (this.#avoidedUntil.get(name) ?? 0),
+		});
+		if (!gateway) {
+			return err({failure: ChannelFailure.NotRelayed, message: 'no gateway is available'});
+		}
+
+		const separator = gateway.address.lastIndexOf(':');
+		const socket = connect({host: gateway.address.slice(0, separator), port: Number(gateway.address.slice(separator + 1))});
+		const channel = new RelayChannel(socket, timer);
+		channel.onSilent = () => {
+			this.#avoid(gateway.name, instance.id, 'no response in time');
+		};
+
+		const outcome = await channel.open(instance.id, now + openTimeoutMilliseconds);
+		if (outcome.isErr()) {
+			this.#avoid(gateway.name, instance.id, outcome.error.message);
+			return err(outcome.error);
+		}
+
+		return ok(channel);
+	}
+
+	#avoid(gateway: string, instance: string, reason: string): void {
+		this.#avoidedUntil.set(gateway, this.#options.timer.now() + avoidanceMilliseconds);
+		this.#options.log.write('gateway-avoided', {gateway, instance, reason});
+	}
+}
--- /dev/null
+++ b/packages/direct/src/connection/relay-listener.ts
@@ -0,0 +1,52 @@
+import {createServer, type Server} from 'node:net';
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {type EventLog} from '../process/event-log.js';
+import {RelayedConnection, type RelayHost} from './relayed-connection.js';
+
+/** Accepts the connections of hosts that use this one as a gateway. */
+export class RelayListener {
+	readonly #server: Server;
+	readonly #connections = new Set<RelayedConnection>();
+
+	/**
+	 * @param host - Host whose connections to instances serve the others.
+	 * @param services - Services.
+	 */
+	constructor(host: RelayHost, services: {timer: TimerService; log: EventLog}) {
+		this.#server = createServer(socket => {
+			const connection = new RelayedConnection(socket, {host, ...services});
+			this.#connections.add(connection);
+			socket.on('close', () => {
+				this.#connections.delete(connection);
+			});
+		});
+	}
+
+	/** Connections on which a request is being run or a transaction is open. */
+	get busyConnections(): number {
+		return [...this.#connections].filter(connection => connection.isBusy).length;
+	}
+
+	/** Listens on an address. */
+	async listen(address: string, port: number): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen({host: address, port}, resolve);
+		});
+	}
+
+	/** Asks the other hosts to use another gateway. They close their connections when no transaction needs them. */
+	announceLeaving(): void {
+		for (const connection of this.#connections) {
+			connection.announceLeaving();
+		}
+	}
+
+	/** Closes everything at once. */
+	destroy(): void {
+		this.#server.close();
+		for (const connection of this.#connections) {
+			connection.destroy();
+		}
+	}
+}
--- /dev/null
+++ b/packages/direct/src/connection/relay-messages.ts
@@ -0,0 +1,122 @@
+import {TransactionStatus} from '@tarragonstack/core/request/transaction-status';
+import {err, ok, type Result} from 'neverthrow';
+import * as z from 'zod/mini';
+import {StatementErrorCode} from '../request/statement-error-code.js';
+import {StatementKind} from '../request/statement-kind.js';
+import {ChannelFailure, SessionCommand} from './upstream-channel.js';
+
+/** Messages from a host to a gateway. */
+export enum RelayRequestKind {
+	/** First message of a connection: names the instance. */
+	Open = 'open',
+	Run = 'run',
+	ReadStatus = 'read-status',
+}
+
+/** Messages from a gateway to a host. */
+export enum RelayResponseKind {
+	Opened = 'opened',
+	Results = 'results',
+	Status = 'status',
+	/** Nothing of the request has been sent to the instance. */
+	Refused = 'refused',
+	/** The connection to the instance failed after the request was sent. */
+	Failed = 'failed',
+	/** The gateway is about to stop; the host closes the connection when it needs it no more. */
+	Leaving = 'leaving',
+}
+
+const positionSchema = z.object({term: z.number(), index: z.number()});
+const definitionSchema = z.object({writes: z.boolean(), shape: z.string()});
+const statementSchema = z.object({
+	identifier: z.string(),
+	kind: z.enum(StatementKind),
+	text: z.string(),
+	name: z.optional(z.string()),
+	value: z.optional(z.string()),
+	definition: z.optional(definitionSchema),
+	argumentsText: z.optional(z.string()),
+});
+
+const upstreamStatementSchema = z.union([
+	z.object({statement: statementSchema, minimumPosition: z.optional(positionSchema), preparedName: z.optional(z.string())}),
+	z.object({begin: z.enum(['read-write', 'read-only']), minimumPosition: z.optional(positionSchema)}),
+	z.object({command: z.enum(SessionCommand)}),
+	z.object({setValue: z.object({name: z.string(), value: z.string()})}),
+	z.object({prepare: z.object({name: z.string(), definition: definitionSchema})}),
+]);
+
+/**
+ * Urgency of a statement. The clocks of two hosts differ, so all times count from the sending of the message, in
+ * milliseconds.
+ */
+const urgencySchema = z.object({
+	priority: z.number(),
+	waited: z.number(),
+	onTimeFor: z.number(),
+	givenUpAfter: z.number(),
+	reign: z.optional(z.number()),
+});
+
+const requestSchema = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal(RelayRequestKind.Open), instance: z.string()}),
+	z.object({
+		kind: z.literal(RelayRequestKind.Run),
+		batch: z.array(upstreamStatementSchema),
+		/** Time after which the host gives the request up, in milliseconds from its sending. */
+		timeout: z.number(),
+		urgency: z.optional(urgencySchema),
+	}),
+	z.object({kind: z.literal(RelayRequestKind.ReadStatus), timeout: z.number()}),
+]);
+
+const resultSchema = z.object({
+	rows: z.array(z.string()),
+	completion: z.optional(z.string()),
+	error: z.optional(z.object({code: z.enum(StatementErrorCode), message: z.string()})),
+	status: z.enum(TransactionStatus),
+	position: z.optional(positionSchema),
+});
+
+const responseSchema = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal(RelayResponseKind.Opened)}),
+	z.object({kind: z.literal(RelayResponseKind.Results), results: z.array(resultSchema)}),
+	z.object({kind: z.literal(RelayResponseKind.Status), status: z.object({isPrimary: z.boolean(), term: z.number(), received: positionSchema})}),
+	z.object({kind: z.literal(RelayResponseKind.Refused), reason: z.string()}),
+	z.object({kind: z.literal(RelayResponseKind.Failed), failure: z.enum(ChannelFailure), reason: z.string()}),
+	z.object({kind: z.literal(RelayResponseKind.Leaving)}),
+]);
+
+/** Urgency of a statement as one host states it to another. */
+export type RelayUrgency = z.output<typeof urgencySchema>;
+
+/** Message from a host to a gateway. */
+export type RelayRequest = z.output<typeof requestSchema>;
+
+/** Message from a gateway to a host. */
+export type RelayResponse = z.output<typeof responseSchema>;
+
+/**
+ * Validates a message from a host.
+ *
+ * @param value - Decoded frame.
+ * @returns The message, or the reason why the value is none.
+ */
+export function parseRelayRequest(value: unknown): Result<RelayRequest, string> {
+	return parse(requestSchema, value);
+}
+
+/**
+ * Validates a message from a gateway.
+ *
+ * @param value - Decoded frame.
+ * @returns The message, or the reason why the value is none.
+ */
+export function parseRelayResponse(value: unknown): Result<RelayResponse, string> {
+	return parse(responseSchema, value);
+}
+
+function parse<Message>(schema: z.ZodMiniType<Message>, value: unknown): Result<Message, string> {
+	const parsed = schema.safeParse(value);
+	return parsed.success ? ok(parsed.data) : err(z.prettifyError(parsed.error));
+}
--- /dev/null
+++ b/packages/direct/src/connection/relayed-connection.ts
@@ -0,0 +1,289 @@
+import {type Socket} from 'node:net';
+import {encodeFrame, FrameDecoder} from '@tarragonstack/core/codec/frame-codec';
+import {TransactionStatus} from '@tarragonstack/core/request/transaction-status';
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {type EventLog} from '../process/event-log.js';
+import {type StatementResult} from '../request/statement-result.js';
+import {type PreparedDefinition} from '../request/statement.js';
+import {type WaitingRequest} from '../request/waiting-request.js';
+import {type InstancePool} from './instance-pool.js';
+import {type PooledConnection} from './pooled-connection.js';
+import {parseRelayRequest, type RelayRequest, RelayRequestKind, type RelayResponse, RelayResponseKind, type RelayUrgency} from './relay-messages.js';
+import {rollBackAndRelease} from './roll-back-and-release.js';
+import {Progress, runStatement} from './run-statement.js';
+import {ChannelFailure, SessionCommand, type UpstreamStatement} from './upstream-channel.js';
+
+/** Priority of status requests: before all clients, because every read that waits depends on it. */
+const statusPriority = -1;
+
+/** What a gateway offers for one instance. */
+export type RelayTarget = {
+	readonly pool: InstancePool;
+	/** Returns whether the primary of a reign may be used. */
+	isReignCurrent(reign: number): boolean;
+};
+
+/** What the gateway side of a relay needs of its host. */
+export type RelayHost = {
+	/** Whether the host is about to stop. */
+	readonly isLeaving: boolean;
+	/** Returns the connections to an instance, or `undefined` if this host has none of its own. */
+	findRelayTarget(instance: string): RelayTarget | undefined;
+};
+
+/** Result of one statement of a batch, or the response that ends the batch. */
+type Step = {readonly result: StatementResult} | {readonly response: RelayResponse};
+
+/** Connection of another host that runs its statements on connections of this host. */
+export class RelayedConnection {
+	readonly #socket: Socket;
+	readonly #host: RelayHost;
+	readonly #timer: TimerService;
+	readonly #log: EventLog;
+	readonly #decoder = new FrameDecoder();
+	readonly #values = new Map<string, string>();
+	readonly #prepared = new Map<string, PreparedDefinition>();
+	#target: RelayTarget | undefined;
+	/** Connection of the transaction that is open. */
+	#held: PooledConnection | undefined;
+	/** Connection on which a statement is running. */
+	#running: PooledConnection | undefined;
+	#isBusy = false;
+	#isClosed = false;
+
+	/**
+	 * @param socket - Accepted connection.
+	 * @param options - Host and services.
+	 */
+	constructor(socket: Socket, {host, timer, log}: {host: RelayHost; timer: TimerService; log: EventLog}) {
+		this.#socket = socket;
+		this.#host = host;
+		this.#timer = timer;
+		this.#log = log;
+		socket.setNoDelay(true);
+		socket.on('data', chunk => {
+			this.#receive(chunk);
+		});
+		socket.on('error', error => {
+			log.write('relay-failed', {from: socket.remoteAddress, reason: error.message});
+		});
+		socket.on('close', () => {
+			this.#handleClose();
+		});
+	}
+
+	/** Whether a request is being run or a transaction is open. */
+	get isBusy(): boolean {
+		return this.#isBusy || this.#held !== undefined;
+	}
+
+	/** Tells the other host that this one is about to stop. */
+	announceLeaving(): void {
+		this.#send({kind: RelayResponseKind.Leaving});
+	}
+
+	/** Closes the connection at once. */
+	destroy(): void {
+		this.#socket.destroy();
+	}
+
+	#receive(chunk: Buffer): void {
+		const frames = this.#decoder.push(chunk);
+		if (frames.isErr()) {
+			this.#reject(frames.error);
+			return;
+		}
+
+		for (const frame of frames.value) {
+			const request = parseRelayRequest(frame);
+			if (request.isErr() || this.#isBusy) {
+				this.#reject(request.isErr() ? request.error : 'a request before the response to the last one');
+				return;
+			}
+
+			void this.#handle(request.value);
+		}
+	}
+
+	#reject(reason: string): void {
+		this.#log.write('relay-failed', {from: this.#socket.remoteAddress, reason});
+		this.#socket.destroy();
+	}
+
+	async #handle(request: RelayRequest): Promise<void> {
+		this.#isBusy = true;
+		try {
+			this.#send(await this.#respond(request));
+		} catch (error) {
+			this.#reject(error instanceof Error ? error.stack ?? error.message : String(error));
+		}
+
+		this.#isBusy = false;
+	}
+
+	async #respond(request: RelayRequest): Promise<RelayResponse> {
+		switch (request.kind) {
+			case RelayRequestKind.Open: {
+				this.#target = this.#host.isLeaving ? undefined : this.#host.findRelayTarget(request.instance);
+				return this.#target ? {kind: RelayResponseKind.Opened} : refuse('this host has no connections to the instance');
+			}
+
+			case RelayRequestKind.Run: {
+				return this.#runBatch(request.batch, this.#timer.now() + request.timeout, request.urgency);
+			}
+
+			case RelayRequestKind.ReadStatus: {
+				return this.#readStatus(this.#timer.now() + request.timeout);
+			}
+		}
+	}
+
+	async #runBatch(batch: readonly UpstreamStatement[], deadline: number, urgency: RelayUrgency | undefined): Promise<RelayResponse> {
+		const results: StatementResult[] = [];
+		for (const entry of batch) {
+			const step = this.#runLocally(entry) ?? await this.#runAtInstance(entry, deadline, urgency);
+			if ('response' in step) {
+				return step.response;
+			}
+
+			results.push(step.result);
+		}
+
+		return {kind: RelayResponseKind.Results, results: results as Extract<RelayResponse, {kind: RelayResponseKind.Results}>['results']};
+	}
+
+	/** Notes what a session state statement changes; connections to the instance are aligned when they are used. */
+	#runLocally(entry: UpstreamStatement): Step | undefined {
+		if ('setValue' in entry) {
+			this.#values.set(entry.setValue.name, entry.setValue.value);
+		} else if ('prepare' in entry) {
+			this.#prepared.set(entry.prepare.name, entry.prepare.definition);
+		} else if ('command' in entry && entry.command === SessionCommand.Reset) {
+			this.#values.clear();
+			this.#prepared.clear();
+		} else if (!('command' in entry) || this.#held) {
+			return undefined;
+		}
+
+		return {result: {rows: [], completion: '-', status: this.#held ? TransactionStatus.InTransaction : TransactionStatus.Idle}};
+	}
+
+	async #runAtInstance(entry: UpstreamStatement, deadline: number, urgency: RelayUrgency | undefined): Promise<Step> {
+		const target = this.#target;
+		if (!target) {
+			return {response: refuse('no instance was named')};
+		}
+
+		const preparedName = 'statement' in entry ? entry.preparedName : undefined;
+		const definition = preparedName === undefined ? undefined : this.#prepared.get(preparedName);
+		const connection = this.#held ?? await this.#acquire(target, urgency);
+		if (typeof connection === 'string') {
+			return {response: refuse(connection)};
+		}
+
+		const {pool} = target;
+		const alignment = connection.align({values: this.#values}, definition);
+		this.#running = connection;
+		pool.noteSent(connection);
+		const outcome = await runStatement(connection, alignment, entry, {timer: this.#timer, deadline});
+		this.#running = undefined;
+		if (outcome.progress === Progress.Answered) {
+			pool.noteAnswered(connection, 'statement' in entry ? this.#timer.now() - outcome.sentAt : undefined);
+			this.#settle(target, connection, outcome.result.status);
+			return {result: outcome.result};
+		}
+
+		connection.channel[Symbol.dispose]();
+		this.#settle(target, connection, TransactionStatus.Idle);
+		return {response: outcome.progress === Progress.NotSent
+			? refuse(outcome.message)
+			: {kind: RelayResponseKind.Failed, failure: ChannelFailure.Broken, reason: outcome.message}};
+	}
+
+	/** Returns a connection of the pool, or the reason why there is none. */
+	async #acquire({pool, isReignCurrent}: RelayTarget, urgency: RelayUrgency | undefined): Promise<PooledConnection | string> {
+		if (!urgency) {
+			return 'the transaction has ended';
+		}
+
+		const connection = await pool.acquire(this.#createRequest(urgency), {values: this.#values});
+		if (typeof connection === 'string') {
+			return `the connection is ${connection}`;
+		}
+
+		if (this.#isClosed || (urgency.reign !== undefined && !isReignCurrent(urgency.reign))) {
+			pool.release(connection);
+			return 'the primary is not the one that this host knows';
+		}
+
+		return connection;
+	}
+
+	#createRequest({priority, waited, onTimeFor, givenUpAfter}: RelayUrgency): WaitingRequest {
+		const now = this.#timer.now();
+		return {priority, arrivedAt: now - waited, onTimeUntil: now + onTimeFor, deadline: now + givenUpAfter};
+	}
+
+	/** Keeps the connection of an open transaction, and returns any other one to its pool. */
+	#settle({pool}: RelayTarget, connection: PooledConnection, status: TransactionStatus): void {
+		const isOpen = status !== TransactionStatus.Idle;
+		this.#held = isOpen ? connection : undefined;
+		if (!isOpen) {
+			pool.release(connection);
+		} else if (this.#isClosed) {
+			this.#abandon();
+		}
+	}
+
+	async #readStatus(deadline: number): Promise<RelayResponse> {
+		const target = this.#target;
+		if (!target) {
+			return refuse('no instance was named');
+		}
+
+		const now = this.#timer.now();
+		const connection = await target.pool.acquire({priority: statusPriority, arrivedAt: now, onTimeUntil: deadline, deadline}, {values: new Map()});
+		if (typeof connection === 'string') {
+			return refuse(`the connection is ${connection}`);
+		}
+
+		target.pool.noteSent(connection);
+		const status = await connection.channel.readStatus(deadline);
+		if (status.isOk()) {
+			target.pool.noteAnswered(connection);
+		}
+
+		target.pool.release(connection);
+		return status.isOk()
+			? {kind: RelayResponseKind.Status, status: status.value}
+			: {kind: RelayResponseKind.Failed, failure: status.error.failure, reason: status.error.message};
+	}
+
+	#handleClose(): void {
+		this.#isClosed = true;
+		// Nobody waits for the response any more; the connection to the instance ends as that of a client would.
+		this.#running?.channel[Symbol.dispose]();
+		if (!this.#running) {
+			this.#abandon();
+		}
+	}
+
+	/** Rolls back the open transaction. */
+	#abandon(): void {
+		const connection = this.#held;
+		this.#held = undefined;
+		if (connection && this.#target) {
+			void rollBackAndRelease(connection, this.#target.pool, this.#timer);
+		}
+	}
+
+	#send(response: RelayResponse): void {
+		if (!this.#socket.destroyed) {
+			this.#socket.write(encodeFrame(response));
+		}
+	}
+}
+
+function refuse(reason: string): RelayResponse {
+	return {kind: RelayResponseKind.Refused, reason};
+}
--- a/packages/direct/src/connection/run-statement.ts
+++ b/packages/direct/src/connection/run-statement.ts
@@ -1,7 +1,8 @@
 import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {type StatementOrigin} from '../request/statement-origin.js';
 import {type StatementError, type StatementResult} from '../request/statement-result.js';
 import {type PooledConnection} from './pooled-connection.js';
-import {type UpstreamStatement} from './upstream-channel.js';
+import {ChannelFailure, type UpstreamStatement} from './upstream-channel.js';
 
 /** How far a statement came. */
 export enum Progress {
@@ -27,16 +28,17 @@
  * @param connection - Connection to use.
  * @param preamble - Statements that must succeed first.
  * @param statement - Statement of the client.
- * @param options - Clock, and the monotonic time at which the connection is closed if a response is missing.
+ * @param options - Clock, the monotonic time at which the connection is closed if a response is missing, and the urgency
+ * for a gateway.
  */
 export async function runStatement(
 	connection: PooledConnection,
 	preamble: readonly UpstreamStatement[],
 	statement: UpstreamStatement,
-	options: {readonly timer: TimerService; readonly deadline: number},
+	options: {readonly timer: TimerService; readonly deadline: number; readonly origin?: StatementOrigin},
 ): Promise<StatementOutcome> {
 	if (preamble.length > 0) {
-		const prepared = await connection.channel.run(preamble, options.deadline);
+		const prepared = await connection.channel.run(preamble, options.deadline, options.origin);
 		if (prepared.isErr()) {
 			return {progress: Progress.NotSent, message: prepared.error.message};
 		}
@@ -48,8 +50,13 @@
 	}
 
 	const sentAt = options.timer.now();
-	const outcome = await connection.channel.run([statement], options.deadline);
-	return outcome.isErr()
-		? {progress: Progress.Unanswered, message: outcome.error.message, sentAt}
-		: {progress: Progress.Answered, result: outcome.value[0]!, sentAt};
+	const outcome = await connection.channel.run([statement], options.deadline, options.origin);
+	if (outcome.isOk()) {
+		return {progress: Progress.Answered, result: outcome.value[0]!, sentAt};
+	}
+
+	const {failure, message} = outcome.error;
+	return failure === ChannelFailure.NotRelayed
+		? {progress: Progress.NotSent, message}
+		: {progress: Progress.Unanswered, message, sentAt};
 }
--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -170,7 +170,7 @@
 				work.trace.minimumPosition = formatLogPosition(target.minimumPosition);
 			}
 
-			const attempt = await this.#attempt(work, target, connection, deadline);
+			const attempt = await this.#attempt(work, target, connection, {deadline, request});
 			if (attempt.outcome) {
 				return attempt.outcome;
 			}
@@ -223,13 +223,14 @@
 			load: pool.load,
 			serviceTime: pool.serviceTime,
 			isLocalZone: pool.instance.availabilityZone === this.#availabilityZone,
+			isRelayed: pool.isRelayed,
 			isBehind: lag !== undefined && now < lag.until && compareLogPositions(position, lag.missing) >= 0,
 			isReachable: pool.isResponsive(now),
 			isTried: tried.has(pool),
 		})))];
 	}
 
-	async #attempt(work: FirstStatement, target: Target, connection: PooledConnection, deadline: number): Promise<Attempt> {
+	async #attempt(work: FirstStatement, target: Target, connection: PooledConnection, {deadline, request}: {deadline: number; request: WaitingRequest}): Promise<Attempt> {
 		const {statement, begin, context, definition, group, route, trace} = work;
 		const {pool, minimumPosition, reign} = target;
 		if (reign !== undefined && !group.isReignCurrent(reign)) {
@@ -246,7 +247,11 @@
 			connection,
 			preamble,
 			{statement, ...(definition && {preparedName: getPreparedName(definition)}), ...(!begin && position)},
-			{timer: this.#timer, deadline: mayRepeat(work) ? Math.min(deadline, startedAt + getReadSilence(route.targetMilliseconds, trace.attempts)) : deadline},
+			{
+				timer: this.#timer,
+				deadline: mayRepeat(work) ? Math.min(deadline, startedAt + getReadSilence(route.targetMilliseconds, trace.attempts)) : deadline,
+				origin: {request, reign},
+			},
 		);
 		if (outcome.progress === Progress.Answered) {
 			return this.#handleAnswer(work, target, connection, outcome);
--- a/packages/direct/src/connection/upstream-channel.ts
+++ b/packages/direct/src/connection/upstream-channel.ts
@@ -1,6 +1,7 @@
 import {type LogPosition} from '@tarragonstack/core/request/log-position';
 import {type Result} from 'neverthrow';
 import {type PreparedDefinition, type Statement} from '../request/statement.js';
+import {type StatementOrigin} from '../request/statement-origin.js';
 import {type StatementResult} from '../request/statement-result.js';
 import {type InstanceEntry} from '../process/instance-entry.js';
 
@@ -33,6 +34,8 @@
 	WrongInstance = 'wrong-instance',
 	/** The instance violates the protocol. */
 	Protocol = 'protocol',
+	/** The gateway has not sent the statements to the instance. */
+	NotRelayed = 'not-relayed',
 }
 
 /** Failure of a channel. */
@@ -63,9 +66,10 @@
 	 *
 	 * @param batch - Statements in order.
 	 * @param deadline - Monotonic time at which the channel is closed if responses are missing.
+	 * @param origin - Urgency, for a gateway; missing inside a transaction, which holds its connection.
 	 * @returns One result per statement, or the failure after which the channel is closed.
 	 */
-	run(batch: readonly UpstreamStatement[], deadline: number): Promise<Result<StatementResult[], ChannelError>>;
+	run(batch: readonly UpstreamStatement[], deadline: number, origin?: StatementOrigin): Promise<Result<StatementResult[], ChannelError>>;
 
 	/**
 	 * Asks the instance for its status.
--- /dev/null
+++ b/packages/direct/src/process/connection-routes.ts
@@ -0,0 +1,80 @@
+import {type TimerService} from '@tarragonstack/core/time/timer-service';
+import {type InstanceRoute} from '../connection/instance-pool.js';
+import {type Gateway, RelayDialer} from '../connection/relay-dialer.js';
+import {type ConnectionPlan, planConnections} from '../request/gateway-plan.js';
+import {type EventLog} from './event-log.js';
+import {type FleetView} from './fleet-view.js';
+
+/** Connections through gateways that a host keeps to one instance; each runs one statement or transaction. */
+const relayedConnections = 3;
+
+/** Services of `ConnectionRoutes`. */
+export type ConnectionRoutesOptions = {
+	readonly hostName: string;
+	readonly availabilityZone: string;
+	readonly timer: TimerService;
+	readonly log: EventLog;
+	readonly fleet: FleetView;
+};
+
+type CachedPlan = {
+	readonly plan: ConnectionPlan;
+	readonly connectionLimit: number;
+	/** Changes of the fleet that the plan takes into account. */
+	readonly membershipChanges: number;
+};
+
+/** How this host reaches each instance, by the hosts that share its connections. */
+export class ConnectionRoutes {
+	readonly #options: ConnectionRoutesOptions;
+	readonly #plans = new Map<string, CachedPlan>();
+	readonly #relay: RelayDialer;
+
+	/**
+	 * @param options - Identity of the host, the fleet and services.
+	 */
+	constructor(options: ConnectionRoutesOptions) {
+		this.#options = options;
+		this.#relay = new RelayDialer({...options, getGateways: instance => this.#getGateways(instance)});
+	}
+
+	/**
+	 * Returns the route to an instance.
+	 *
+	 * @param instance - Identifier of the instance.
+	 * @param connectionLimit - Connections that it accepts from all hosts together.
+	 */
+	getRoute(instance: string, connectionLimit: number): InstanceRoute {
+		const {connections, gateways} = this.#getPlan(instance, connectionLimit);
+		return gateways && !gateways.has(this.#options.hostName)
+			? {maximumConnections: relayedConnections, relay: this.#relay}
+			: {maximumConnections: connections};
+	}
+
+	/** Forgets the route to an instance that is gone. */
+	forget(instance: string): void {
+		this.#plans.delete(instance);
+	}
+
+	#getPlan(instance: string, connectionLimit: number): ConnectionPlan {
+		const {fleet: {hosts, membershipChanges}} = this.#options;
+		const cached = this.#plans.get(instance);
+		if (cached?.membershipChanges === membershipChanges && cached.connectionLimit === connectionLimit) {
+			return cached.plan;
+		}
+
+		const candidates = [...hosts].map(([name, {record: {availabilityZone}}]) => ({name, availabilityZone}));
+		const plan = planConnections(instance, connectionLimit, candidates);
+		this.#plans.set(instance, {plan, connectionLimit, membershipChanges});
+		return plan;
+	}
+
+	#getGateways(instance: string): Gateway[] {
+		const {hosts} = this.#options.fleet;
+		const names = this.#plans.get(instance)?.plan.gateways ?? [];
+		return [...names].flatMap(name => {
+			const record = hosts.get(name)?.record;
+			return record ? [{name, availabilityZone: record.availabilityZone, address: record.peerAddress}] : [];
+		});
+	}
+}
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -3,11 +3,12 @@
 import {type PeerTransport} from '../connection/datagram-transport.js';
 import {ClientSession} from '../connection/client-session.js';
 import {InstancePool} from '../connection/instance-pool.js';
+import {type RelayHost, type RelayTarget} from '../connection/relayed-connection.js';
 import {StatementRunner} from '../connection/statement-runner.js';
 import {type UpstreamDialer} from '../connection/upstream-channel.js';
-import {getConnectionShare} from '../request/connection-share.js';
 import {type DeploymentConfiguration} from '../version/deployment-configuration.js';
 import {AuthorityWitness} from './authority-witness.js';
+import {ConnectionRoutes} from './connection-routes.js';
 import {type EventLog} from './event-log.js';
 import {FleetView} from './fleet-view.js';
 import {parseGroupRecord, type GroupRecord} from './group-record.js';
@@ -55,7 +56,7 @@
 };
 
 /** One host of the fleet: it follows the shared store, knows the groups and runs the statements of its sessions. */
-export class DirectHost implements StoreListener, AsyncDisposable {
+export class DirectHost implements StoreListener, RelayHost, AsyncDisposable {
 	readonly #options: DirectHostOptions;
 	readonly #metrics = new HostMetrics();
 	readonly #groups = new Map<string, InstanceGroupState>();
@@ -71,6 +72,7 @@
 	readonly #leaseKeeper: LeaseKeeper;
 	readonly #coordinator: PromotionCoordinator;
 	readonly #runner: StatementRunner;
+	readonly #routes: ConnectionRoutes;
 	readonly #witness: AuthorityWitness;
 	#configuration: DeploymentConfiguration | undefined;
 	#sweeper: Disposable | undefined;
@@ -117,6 +119,7 @@
 				this.#updateGroupRecord(this.#groups.get(group), record, revision);
 			},
 		});
+		this.#routes = new ConnectionRoutes({hostName, availabilityZone, timer, log, fleet: this.#fleet});
 		this.#runner = new StatementRunner({timer, log, availabilityZone, isUnauthorized: () => timer.now() > this.#authority.validUntil});
 	}
 
@@ -185,11 +188,28 @@
 		return this.#configuration !== undefined;
 	}
 
+	/** Whether the host is about to stop. */
+	get isLeaving(): boolean {
+		return this.#isLeaving;
+	}
+
 	/** Stops asking for new clients. */
 	leave(): void {
 		this.#isLeaving = true;
 	}
 
+	/** @inheritdoc */
+	findRelayTarget(instance: string): RelayTarget | undefined {
+		for (const group of this.#groups.values()) {
+			const known = group.instances.get(instance);
+			if (known && !known.pool.isRelayed) {
+				return {pool: known.pool, isReignCurrent: reign => group.isReignCurrent(reign)};
+			}
+		}
+
+		return undefined;
+	}
+
 	/** @inheritdoc */
 	handleItem(item: StoreItem): void {
 		const {formats} = this.#options;
@@ -235,7 +255,11 @@
 
 	/** @inheritdoc */
 	handleCaughtUp(): void {
-		this.#updateShares();
+		for (const group of this.#groups.values()) {
+			for (const [id, {pool}] of group.instances) {
+				pool.setRoute(this.#routes.getRoute(id, this.#getConnectionLimit(group.name)));
+			}
+		}
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
@@ -313,7 +337,7 @@
 			known.pool.instance = entry;
 		} else {
 			known?.pool[Symbol.dispose]();
-			const pool = new InstancePool(entry, dialer, {timer, log, metrics: this.#metrics, maximumConnections: this.#getShare(entry.group)});
+			const pool = new InstancePool(entry, dialer, {timer, log, metrics: this.#metrics, route: this.#routes.getRoute(entry.id, this.#getConnectionLimit(entry.group))});
 			group.instances.set(entry.id, {pool});
 			pool.warmUp();
 		}
@@ -360,16 +384,8 @@
 		}
 	}
 
-	#getShare(groupName: string): number {
-		return getConnectionShare(this.#configuration?.groups.get(groupName)?.connectionLimit ?? 0, this.#fleet.hosts.size);
-	}
-
-	#updateShares(): void {
-		for (const group of this.#groups.values()) {
-			for (const {pool} of group.instances.values()) {
-				pool.setMaximumConnections(this.#getShare(group.name));
-			}
-		}
+	#getConnectionLimit(groupName: string): number {
+		return this.#configuration?.groups.get(groupName)?.connectionLimit ?? 0;
 	}
 
 	#sweep(now: number): void {
@@ -383,6 +399,7 @@
 					this.#options.log.write('instance-gone', {instance: id, group: group.name});
 					known.pool[Symbol.dispose]();
 					group.instances.delete(id);
+					this.#routes.forget(id);
 				}
 			}
 
--- a/packages/direct/src/process/fleet-view.ts
+++ b/packages/direct/src/process/fleet-view.ts
@@ -12,6 +12,8 @@
 export class FleetView {
 	/** Registered hosts by name. */
 	readonly hosts = new Map<string, FleetHost>();
+	/** Number of changes of who is registered, and where. */
+	membershipChanges = 0;
 	readonly #log: EventLog;
 	#promoter: StoreItem | undefined;
 
@@ -48,6 +50,7 @@
 		}
 
 		if (this.hosts.get(name)?.record.incarnation !== record.value.incarnation) {
+			this.membershipChanges++;
 			this.#log.write('host-added', {host: name, incarnation: record.value.incarnation});
 		}
 
@@ -60,6 +63,7 @@
 	 */
 	removeHost(name: string): void {
 		if (this.hosts.delete(name)) {
+			this.membershipChanges++;
 			this.#log.write('host-gone', {host: name});
 		}
 	}
--- a/packages/direct/src/request/connection-share.ts
+++ b/packages/direct/src/request/connection-share.ts
@@ -1,5 +1,5 @@
 /** Connections of an instance that no host uses regularly: for status requests, and for hosts that have just joined. */
-const reservedConnections = 3;
+export const reservedConnections = 3;
 
 /**
  * Returns how many connections a host may keep to an instance.
--- a/packages/direct/src/request/read-placement.ts
+++ b/packages/direct/src/request/read-placement.ts
@@ -5,6 +5,8 @@
 	/** Average time of a statement in milliseconds. */
 	readonly serviceTime: number;
 	readonly isLocalZone: boolean;
+	/** Whether a gateway runs the statements. */
+	readonly isRelayed: boolean;
 	/** Whether the instance is known to lack what the read demands. */
 	readonly isBehind: boolean;
 	readonly isReachable: boolean;
@@ -15,6 +17,9 @@
 /** Cost of a hop between zones in milliseconds: two one-way delays of 0.7 ms more than inside a zone, and the priced bytes. */
 const zoneHopMilliseconds = 3;
 
+/** Cost of a gateway in milliseconds: its own queue and processor, and up to two hops between hosts. */
+const relayMilliseconds = 3;
+
 /**
  * Chooses where a read runs: the candidate with the lowest expected finish time.
  *
@@ -30,7 +35,8 @@
 		}
 
 		const cost = ((candidate.load + 1) * candidate.serviceTime)
-			+ (candidate.isLocalZone ? 0 : zoneHopMilliseconds);
+			+ (candidate.isLocalZone ? 0 : zoneHopMilliseconds)
+			+ (candidate.isRelayed ? relayMilliseconds : 0);
 		if (cost < bestCost) {
 			best = index;
 			bestCost = cost;
--- /dev/null
+++ b/packages/direct/tests/connection/relay.test.ts
@@ -0,0 +1,283 @@
+import {createServer, connect, type AddressInfo, type Socket} from 'node:net';
+import {encodeFrame} from '@tarragonstack/core/codec/frame-codec';
+import {SystemTimerService} from '@tarragonstack/core/time/system-timer-service';
+import {test as propertyTest, fc} from '@fast-check/vitest';
+import {err, ok} from 'neverthrow';
+import {afterEach, describe, expect, it} from 'vitest';
+import {
+	ChannelFailure, HostMetrics, InstancePool, Progress, RelayDialer, RelayListener, runStatement, SessionCommand, StatementKind,
+	type PooledConnection, type StatementOrigin, type UpstreamChannel, type UpstreamStatement,
+} from '../../src/index.js';
+import {FakeChannel, FakeGroup} from '../fleet/fake-group.js';
+
+const timer = new SystemTimerService();
+
+/** Time that a test waits for something to happen, in milliseconds. */
+const patienceMilliseconds = 2000;
+
+type Relay = {
+	readonly group: FakeGroup;
+	readonly pool: InstancePool;
+	readonly listener: RelayListener;
+	readonly port: number;
+	readonly events: string[];
+	readonly state: {isLeaving: boolean; reign: number; hasPool: boolean};
+	/** Opens a connection to the primary through the gateway. */
+	open(): Promise<UpstreamChannel>;
+};
+
+const cleanUps: Array<() => void> = [];
+
+afterEach(() => {
+	for (const cleanUp of cleanUps.splice(0)) {
+		cleanUp();
+	}
+});
+
+async function getFreePort(): Promise<number> {
+	const server = createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return port;
+}
+
+async function startGateway(maximumConnections = 2): Promise<Relay> {
+	const group = new FakeGroup(timer, 'orders', ['zone-a', 'zone-b', 'zone-c']);
+	const [primary] = group.instances;
+	const events: string[] = [];
+	const log = {
+		write(event: string) {
+			events.push(event);
+		},
+	};
+	const pool = new InstancePool(primary!.entry, {
+		dial: async () => primary!.isDown ? err({failure: ChannelFailure.Broken, message: 'refused'}) : ok(new FakeChannel(primary!, group, 'gateway', timer)),
+	}, {timer, log, metrics: new HostMetrics(), route: {maximumConnections}});
+	const state = {isLeaving: false, reign: 7, hasPool: true};
+	const listener = new RelayListener({
+		get isLeaving() {
+			return state.isLeaving;
+		},
+		findRelayTarget: instance => instance === primary!.entry.id && state.hasPool ? {pool, isReignCurrent: reign => reign === state.reign} : undefined,
+	}, {timer, log});
+	const port = await getFreePort();
+	await listener.listen('127.0.0.1', port);
+	const dialer = new RelayDialer({
+		hostName: 'host', availabilityZone: 'zone-a', timer, log,
+		getGateways: () => [{name: 'gateway', availabilityZone: 'zone-a', address: `127.0.0.1:${port}`}],
+	});
+	const sweeper = timer.subscribe(10, now => {
+		pool.sweep(now);
+	});
+	cleanUps.push(() => {
+		sweeper[Symbol.dispose]();
+		listener.destroy();
+		pool[Symbol.dispose]();
+	});
+	return {
+		group, pool, listener, port, events, state,
+		async open() {
+			return (await dialer.dial(primary!.entry))._unsafeUnwrap();
+		},
+	};
+}
+
+function createOrigin(fields: Partial<StatementOrigin> = {}): StatementOrigin {
+	const now = timer.now();
+	return {request: {priority: 0, arrivedAt: now, onTimeUntil: now + 100, deadline: now + 300}, reign: 7, ...fields};
+}
+
+function createStatement(kind: StatementKind, identifier: string): UpstreamStatement {
+	return {statement: {identifier, kind, text: `${kind} ${identifier}`}};
+}
+
+async function waitUntil(isTrue: () => boolean): Promise<void> {
+	const deadline = timer.now() + patienceMilliseconds;
+	while (!isTrue() && timer.now() < deadline) {
+		await timer.sleep(5);
+	}
+}
+
+async function run(channel: UpstreamChannel, batch: readonly UpstreamStatement[], origin: StatementOrigin | undefined = createOrigin()) {
+	return channel.run(batch, timer.now() + 500, origin);
+}
+
+describe('statements through a gateway', () => {
+	// Guards against changed identifiers, texts, proofs or positions.
+	it('passes statements and results on unchanged', async () => {
+		const {group, open} = await startGateway();
+		using channel = await open();
+		const [result] = (await run(channel, [createStatement(StatementKind.Write, 'w1')]))._unsafeUnwrap();
+		expect(result).toMatchObject({completion: 'proof-w1', position: group.commits[0]!.position});
+		expect(group.runs).toMatchObject([{identifier: 'w1', text: 'write w1', isInTransaction: false}]);
+	});
+
+	// Guards against session values of one host's client that hold for another one's.
+	it('aligns the connection with the values of each session', async () => {
+		const {group, open} = await startGateway(1);
+		using first = await open();
+		using second = await open();
+		await run(first, [{command: SessionCommand.Reset}, {setValue: {name: 'language', value: 'es'}}]);
+		await run(first, [createStatement(StatementKind.Read, 'r1')]);
+		await run(second, [createStatement(StatementKind.Read, 'r2')]);
+		await run(first, [createStatement(StatementKind.Read, 'r3')]);
+		expect(group.runs.map(({values}) => values)).toEqual(['[["language","es"]]', '[]', '[["language","es"]]']);
+	});
+
+	// Guards against names that only the host's side of the relay knows.
+	it('prepares statements on whichever connection runs them', async () => {
+		const {open} = await startGateway(1);
+		using first = await open();
+		using second = await open();
+		await run(first, [{prepare: {name: 'wA', definition: {writes: true, shape: 'A'}}}]);
+		await run(second, [{command: SessionCommand.Reset}]);
+		const execute: UpstreamStatement = {statement: {identifier: 'e1', kind: StatementKind.Execute, text: 'EXECUTE'}, preparedName: 'wA'};
+		const [result] = (await run(first, [execute]))._unsafeUnwrap();
+		expect(result).toMatchObject({completion: 'proof-e1'});
+	});
+
+	// Guards against a transaction that runs on several connections, or lets others in.
+	it('holds one connection for a transaction', async () => {
+		const {group, open, pool} = await startGateway();
+		using first = await open();
+		using second = await open();
+		await run(first, [{begin: 'read-write'}]);
+		await run(first, [createStatement(StatementKind.Write, 'w1')], undefined);
+		await run(second, [createStatement(StatementKind.Write, 'other')]);
+		await run(first, [createStatement(StatementKind.Commit, 'c1')], undefined);
+		expect(group.runs.map(({identifier, isInTransaction}) => [identifier, isInTransaction])).toEqual([['w1', true], ['other', false], ['c1', true]]);
+		expect(group.commits.map(({identifier}) => identifier)).toEqual(['other', 'c1']);
+		expect(pool.load).toBe(0);
+	});
+
+	// Guards against locks and slots that stay taken when a host is gone.
+	it('rolls back when the other host is gone', async () => {
+		const {group, open, pool} = await startGateway();
+		const channel = await open();
+		await run(channel, [{begin: 'read-write'}]);
+		await run(channel, [createStatement(StatementKind.Write, 'w1')], undefined);
+		channel[Symbol.dispose]();
+		await waitUntil(() => pool.load === 0);
+		expect(pool.load).toBe(0);
+		expect(group.commits).toEqual([]);
+	});
+
+	// Guards against a refusal that is taken for a failure after the statement was sent, and the other way round.
+	it.each([
+		{name: 'the reign is another one', prepare({state}: Relay) {
+			state.reign = 8;
+		}, progress: Progress.NotSent, runs: 0},
+		{name: 'the pool is closed', prepare({pool}: Relay) {
+			void pool.close(0);
+		}, progress: Progress.NotSent, runs: 0},
+		{name: 'the response is lost', prepare({group}: Relay) {
+			group.instances[0]!.responsesToLose = 1;
+		}, progress: Progress.Unanswered, runs: 1},
+	])('states whether a statement was sent when $name', async ({prepare, progress, runs}) => {
+		const relay = await startGateway();
+		using channel = await relay.open();
+		prepare(relay);
+		const connection = {channel} as unknown as PooledConnection;
+		const outcome = await runStatement(connection, [], createStatement(StatementKind.Write, 'w1'), {timer, deadline: timer.now() + 300, origin: createOrigin()});
+		expect(outcome.progress).toBe(progress);
+		expect(relay.group.runs).toHaveLength(runs);
+		expect(channel.closed).toBe(true);
+	});
+
+	// Guards against endless waits for a connection that is taken by others.
+	it('refuses a statement whose time runs out in the queue', async () => {
+		const {open} = await startGateway(1);
+		using first = await open();
+		using second = await open();
+		await run(first, [{begin: 'read-write'}]);
+		const outcome = await run(second, [createStatement(StatementKind.Read, 'r1')]);
+		expect(outcome._unsafeUnwrapErr()).toMatchObject({failure: ChannelFailure.NotRelayed});
+	});
+
+	// Guards against urgent statements that wait for others' that came earlier.
+	it('serves the most urgent statement of all hosts first', async () => {
+		const {group, open} = await startGateway(1);
+		using holder = await open();
+		await run(holder, [{begin: 'read-write'}]);
+		using late = await open();
+		using urgent = await open();
+		const now = timer.now();
+		const request = {arrivedAt: now, onTimeUntil: now + 1000, deadline: now + 1000};
+		const outcomes = Promise.all([
+			run(late, [createStatement(StatementKind.Read, 'patient')], createOrigin({request: {...request, priority: 2}})),
+			run(urgent, [createStatement(StatementKind.Read, 'urgent')], createOrigin({request: {...request, priority: 0}})),
+		]);
+		await timer.sleep(50);
+		await run(holder, [{command: SessionCommand.Rollback}], undefined);
+		await outcomes;
+		expect(group.runs.map(({identifier}) => identifier)).toEqual(['urgent', 'patient']);
+	});
+
+	it('reads the status of the instance', async () => {
+		const {open} = await startGateway();
+		using channel = await open();
+		expect((await channel.readStatus(timer.now() + 300))._unsafeUnwrap()).toMatchObject({isPrimary: true, term: 1});
+	});
+
+	// Guards against statements that are cut off because the gateway stops.
+	it('ends idle connections of a gateway that stops, and lets transactions finish', async () => {
+		const {group, open, listener} = await startGateway();
+		using idle = await open();
+		using busy = await open();
+		await run(busy, [{begin: 'read-write'}]);
+		listener.announceLeaving();
+		await waitUntil(() => idle.closed);
+		expect({idle: idle.closed, busy: busy.closed}).toEqual({idle: true, busy: false});
+		await run(busy, [createStatement(StatementKind.Write, 'w1')], undefined);
+		await run(busy, [createStatement(StatementKind.Commit, 'c1')], undefined);
+		expect(group.commits).toHaveLength(1);
+		expect(busy.closed).toBe(true);
+	});
+
+	// Guards against relays that go round in circles, and against a gateway that takes work while it stops.
+	it.each([
+		{name: 'uses gateways itself', change: {hasPool: false}},
+		{name: 'is about to stop', change: {isLeaving: true}},
+	])('does not open a connection at a host that $name', async ({change}) => {
+		const {open, state, events} = await startGateway();
+		Object.assign(state, change);
+		await expect(open()).rejects.toThrow();
+		expect(events).toContain('gateway-avoided');
+		// The gateway is avoided for a while, so the second attempt finds none.
+		await expect(open()).rejects.toThrow();
+	});
+});
+
+async function sendRaw(port: number, bytes: Buffer, pieces: number): Promise<Socket> {
+	const socket = connect(port, '127.0.0.1');
+	socket.on('error', () => {
+		socket.destroy();
+	});
+	const size = Math.max(1, Math.ceil(bytes.length / pieces));
+	for (let offset = 0; offset < bytes.length; offset += size) {
+		socket.write(bytes.subarray(offset, offset + size));
+	}
+
+	return socket;
+}
+
+describe('input of the relay listener', () => {
+	// Guards against input that ends the process, runs something or keeps a connection taken.
+	propertyTest.prop([fc.oneof(fc.uint8Array({maxLength: 200}).map(bytes => Buffer.from(bytes)), fc.jsonValue().map(value => encodeFrame(value))), fc.integer({min: 1, max: 5})], {numRuns: 30})(
+		'closes a connection that sends something else, and serves the next one',
+		async (bytes, pieces) => {
+			const {port, open, group, pool} = await startGateway();
+			const socket = await sendRaw(port, bytes, pieces);
+			using channel = await open();
+			expect((await run(channel, [createStatement(StatementKind.Read, 'r1')])).isOk()).toBe(true);
+			expect(group.runs).toHaveLength(1);
+			expect(pool.load).toBe(0);
+			socket.destroy();
+		},
+	);
+});
