Watch the store for longer and pause after registrations

Each of 84 hosts that start is told of each other one by a call of its own, and a watch without changes ends after 2 s although the deployment allows 5 s for a new configuration.

Change: a watch lasts 1 s less than the time for a configuration, which comes with the settings; and after a batch that holds nothing but registrations the next watch begins 4 ms later per registered host, at most 250 ms. Suspicions, confirmations, records of groups and removals are followed at once.

Ruled out: longer intervals between renewals of the lease; one lost renewal would then use up the permission.

--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -44,6 +44,8 @@
 	/** Address of the host's peer listener, in the form `host:port`. */
 	readonly peerAddress: string;
 	readonly store: SharedStore;
+	/** Time within which a new configuration has to be in force, in milliseconds. */
+	readonly configurationMilliseconds: number;
 	readonly formats: PlatformFormats;
 	readonly dialer: UpstreamDialer;
 	readonly promotions: PromotionService;
@@ -89,7 +91,9 @@
 		this.#registration = new HostRegistration({
 			store, timer, log, hostName, record: {incarnation, availabilityZone, peerAddress, lease: 0, confirmed: {}, suspected: []},
 		});
-		this.#follower = new StoreFollower({store, timer, log, listener: this});
+		this.#follower = new StoreFollower({
+			store, timer, log, listener: this, configurationMilliseconds: options.configurationMilliseconds, getHostCount: () => this.#fleet.hosts.size,
+		});
 		this.#authority = new PrimaryAuthority(timer, new SuspensionDetector(timer, () => options.readWallClock()), () => {
 			log.write('suspension-detected', {});
 			this.#leaseKeeper.renewNow();
@@ -211,7 +215,7 @@
 	}
 
 	/** @inheritdoc */
-	handleItem(item: StoreItem): void {
+	handleItem(item: StoreItem): boolean {
 		const {formats} = this.#options;
 		if (item.key === formats.configurationKey) {
 			this.#handleConfiguration(item);
@@ -221,13 +225,17 @@
 			this.#handleGroupRecord({key: item.key, value: item.value, revision: item.revision});
 		} else if (item.key.startsWith(hostPrefix)) {
 			const name = item.key.slice(hostPrefix.length);
-			this.#fleet.noteHost(name, item);
+			const isUrgent = this.#fleet.noteHost(name, item);
 			if (name === this.#options.hostName) {
 				this.#registration.noteStored(item.value, item.revision);
 			}
+
+			return isUrgent;
 		} else if (item.key === promoterKey) {
 			this.#fleet.notePromoter(item);
 		}
+
+		return true;
 	}
 
 	/** @inheritdoc */
--- a/packages/direct/src/process/fleet-view.ts
+++ b/packages/direct/src/process/fleet-view.ts
@@ -41,20 +41,26 @@
 		this.#promoter = undefined;
 	}
 
-	/** Takes over the record of a host. */
-	noteHost(name: string, item: StoreItem): void {
+	/**
+	 * Takes over the record of a host.
+	 *
+	 * @returns Whether the record confirms or suspects something that it did not before.
+	 */
+	noteHost(name: string, item: StoreItem): boolean {
 		const record = parseHostRecord(item.value);
 		if (record.isErr()) {
 			this.#log.write('record-invalid', {key: item.key, reason: record.error});
-			return;
+			return false;
 		}
 
-		if (this.hosts.get(name)?.record.incarnation !== record.value.incarnation) {
+		const previous = this.hosts.get(name)?.record;
+		if (previous?.incarnation !== record.value.incarnation) {
 			this.membershipChanges++;
 			this.#log.write('host-added', {host: name, incarnation: record.value.incarnation});
 		}
 
 		this.hosts.set(name, {record: record.value, revision: item.revision});
+		return getStatements(record.value) !== getStatements(previous);
 	}
 
 	/**
@@ -68,3 +74,8 @@
 		}
 	}
 }
+
+/** Returns what a host states of groups, in a form that can be compared. */
+function getStatements(record: HostRecord | undefined): string {
+	return JSON.stringify([record?.confirmed ?? {}, record?.suspected ?? []]);
+}
--- a/packages/direct/src/process/store-follower.ts
+++ b/packages/direct/src/process/store-follower.ts
@@ -6,18 +6,35 @@
 const callTimeoutMilliseconds = 1000;
 
 /**
- * Longest time that a watch stays open without changes, in milliseconds. Each watch is one priced call; a watch whose
- * connection went silent is noticed after this time, before a change of the configuration is overdue.
+ * Part of the time for a change of the configuration that a watch without changes leaves over, in milliseconds: a watch
+ * whose connection went silent is noticed 0.6 s after its time, and the snapshot that follows takes a call.
  */
-const watchMilliseconds = 2000;
+const watchReserveMilliseconds = 1000;
+
+/** Bounds of the time that a watch stays open without changes, in milliseconds; the store ends one after 30 s. */
+const minimumWatchMilliseconds = 500;
+const maximumWatchMilliseconds = 20_000;
+
+/**
+ * Pause per registered host before the next watch after changes that nobody waits for, in milliseconds. When a fleet of 84
+ * starts, each host would otherwise be told of each other one by a priced call.
+ */
+const pausePerHostMilliseconds = 4;
+
+/** Longest such pause, in milliseconds; an announced change of a primary that comes meanwhile is confirmed later. */
+const maximumPauseMilliseconds = 250;
 
 /** Pause after a failed call, in milliseconds. Failed calls are priced as well. */
 const failurePauseMilliseconds = 250;
 
 /** Receiver of the items of the store. */
 export type StoreListener = {
-	/** Called for each item that was written, in order of revision. */
-	handleItem(item: StoreItem): void;
+	/**
+	 * Called for each item that was written, in order of revision.
+	 *
+	 * @returns Whether further changes that belong to this one must be learnt of at once.
+	 */
+	handleItem(item: StoreItem): boolean;
 	/** Called for each key that was removed. */
 	handleRemoval(key: string): void;
 	/** Called when all changes of one call have been reported. */
@@ -30,6 +47,10 @@
 	readonly timer: TimerService;
 	readonly log: EventLog;
 	readonly listener: StoreListener;
+	/** Time within which a new configuration has to be in force, in milliseconds. */
+	readonly configurationMilliseconds: number;
+	/** Returns the number of registered hosts. */
+	getHostCount(): number;
 };
 
 /** Keeps a host informed of all items of the shared store. */
@@ -89,7 +110,8 @@
 	}
 
 	async #follow(): Promise<void> {
-		const {store, timer} = this.#options;
+		const {store, timer, configurationMilliseconds, getHostCount} = this.#options;
+		const watchMilliseconds = Math.min(maximumWatchMilliseconds, Math.max(minimumWatchMilliseconds, configurationMilliseconds - watchReserveMilliseconds));
 		while (!this.#abort.signal.aborted) {
 			if (!this.#hasSnapshot && !(await this.#readSnapshot())) {
 				await timer.sleep(failurePauseMilliseconds, this.#abort.signal);
@@ -100,8 +122,11 @@
 			const outcome = await store.waitForChanges('', this.#watchedRevision, watchMilliseconds, this.#watchAbort.signal);
 			if (outcome.isOk()) {
 				this.#noteAvailable(true, '');
-				this.#apply(outcome.value.changes);
+				const isUrgent = this.#apply(outcome.value.changes);
 				this.#watchedRevision = Math.max(this.#watchedRevision, outcome.value.revision);
+				if (!isUrgent && outcome.value.changes.length > 0) {
+					await timer.sleep(Math.min(maximumPauseMilliseconds, getHostCount() * pausePerHostMilliseconds), this.#abort.signal);
+				}
 			} else if (outcome.error.failure === StoreFailure.HistoryGone) {
 				this.#options.log.write('store-history-gone', {revision: this.#watchedRevision});
 				this.#hasSnapshot = false;
@@ -126,7 +151,9 @@
 		return true;
 	}
 
-	#apply(changes: readonly StoreChange[]): void {
+	/** Reports changes; returns whether further ones must be learnt of at once. */
+	#apply(changes: readonly StoreChange[]): boolean {
+		let isUrgent = false;
 		for (const change of changes) {
 			if (change.revision <= (this.#revisions.get(change.key) ?? 0)) {
 				continue;
@@ -135,12 +162,14 @@
 			this.#revisions.set(change.key, change.revision);
 			if (change.removed) {
 				this.#options.listener.handleRemoval(change.key);
-			} else {
-				this.#options.listener.handleItem(change);
+				isUrgent = true;
+			} else if (this.#options.listener.handleItem(change)) {
+				isUrgent = true;
 			}
 		}
 
 		this.#options.listener.handleCaughtUp();
+		return isUrgent;
 	}
 
 	#applySnapshot(prefix: string, items: readonly StoreItem[], revision: number): void {
--- a/packages/direct/tests/fleet/fake-fleet.ts
+++ b/packages/direct/tests/fleet/fake-fleet.ts
@@ -86,6 +86,7 @@
 			name, store, cutFrom, log, wallClock,
 			host: new DirectHost({
 				hostName: name, availabilityZone, incarnation: `incarnation-${this.#incarnations}`, peerAddress: `${name}:1`, store, timer: this.timer, peers: transport,
+				configurationMilliseconds: 3000,
 				log: {
 					write: (event, fields) => {
 						log.push({at: this.timer.now(), event, fields});
