Repeat harmless statements that an instance failed, and avoid it

Change: after `failed` or `timed-out`, a read or the first statement of a transaction is tried elsewhere, at most three attempts; the last error is returned then. Each host keeps a share of failed and unanswered statements for each instance, which fades by half in 2 s and adds its expected cost to the placement of reads. It is a cost, not an exclusion: an instance gets small trials again, and if all fail alike none is left out.

Ruled out: repeating single writes; a failed one has run, and nobody knows what it kept.

What is left are transactions whose connection an instance resets.

--- a/packages/direct/src/connection/instance-pool.ts
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -3,6 +3,7 @@
 import {type HostMetrics} from '../process/host-metrics.js';
 import {type InstanceEntry} from '../process/instance-entry.js';
 import {CongestionWindow} from '../request/congestion-window.js';
+import {FailureShare} from '../request/failure-share.js';
 import {compareWaiting, type WaitingRequest} from '../request/waiting-request.js';
 import {PooledConnection, type SessionContext} from './pooled-connection.js';
 import {ChannelFailure, type ChannelError, type UpstreamDialer} from './upstream-channel.js';
@@ -83,6 +84,7 @@
 	#unansweredSince: number | undefined;
 	#serviceTime = initialServiceTimeMilliseconds;
 	readonly #window = new CongestionWindow(() => this.#route.maximumConnections);
+	readonly #failures = new FailureShare();
 	#drained: (() => void) | undefined;
 
 	/**
@@ -115,6 +117,11 @@
 		return this.#serviceTime;
 	}
 
+	/** Share of the statements that the instance failed lately, from 0 to 1. */
+	get failureShare(): number {
+		return this.#failures.get(this.#timer.now());
+	}
+
 	/** Requests of this host that use or await a connection. */
 	get load(): number {
 		return this.#busy.size + this.#waiting.length;
@@ -206,6 +213,11 @@
 		this.#serveWaiting();
 	}
 
+	/** Notes whether the instance failed a statement for a reason that lies with it. */
+	noteOutcome(failed: boolean): void {
+		this.#failures.add(failed, this.#timer.now());
+	}
+
 	/** Returns a connection; it serves the next request, or is closed when it can't be used any more. */
 	release(connection: PooledConnection): void {
 		this.#busy.delete(connection);
--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -35,6 +35,12 @@
 const minimumLagPenaltyMilliseconds = 50;
 const maximumLagPenaltyMilliseconds = 800;
 
+/**
+ * Greatest number of attempts of a statement that instances fail, if it may run again. Two instances of a group that fail
+ * two fifths of their statements leave one in sixteen; more attempts would hide a statement that can't succeed.
+ */
+const maximumFailures = 3;
+
 /** Why a host without permission to use primaries refuses at once what needs one. */
 const unauthorizedReason = 'the host reaches neither the store nor a majority of the hosts';
 
@@ -44,6 +50,9 @@
 /** Greatest number of attempts of one statement. */
 const maximumAttempts = 12;
 
+/** Errors that tell of an instance in trouble; the others tell of what was asked. */
+const failureCodes: ReadonlySet<StatementErrorCode> = new Set([StatementErrorCode.Failed, StatementErrorCode.TimedOut, StatementErrorCode.Overloaded]);
+
 /** Statement that is to run outside a transaction, or as the first of one. */
 export type FirstStatement = {
 	readonly statement: Statement;
@@ -89,8 +98,10 @@
 };
 
 type Attempt = {
-	/** Missing if the statement has not run and may be tried again. */
+	/** Missing if the statement may be tried again. */
 	readonly outcome?: FirstOutcome;
+	/** Error of an attempt that ran; it is returned if no other attempt succeeds. */
+	readonly failure?: StatementResult;
 };
 
 /** Chooses an instance for a statement, runs it there, and tries again as long as it has not run. */
@@ -126,6 +137,7 @@
 			deadline: deadline - (work.route.statementTimeoutMilliseconds * sendReserveShare),
 		};
 		const tried = new Set<InstancePool>();
+		const failures: StatementResult[] = [];
 		let reason = 'no instance is available';
 		for (let attempts = 0; attempts < maximumAttempts && this.#timer.now() < request.deadline;) {
 			const minimumPosition = this.#getReplicaPosition(work);
@@ -153,13 +165,8 @@
 
 			const connection = await this.#measureWait(work, async () => target.pool.acquire(request, work.context));
 			if (typeof connection === 'string') {
-				tried.add(target.pool);
 				reason = connection === AcquireFailure.Expired ? 'no connection became free in time' : 'the instance is not reachable';
-				if (target.reign !== undefined) {
-					tried.clear();
-					await this.#measureWait(work, async () => this.#waitForChange(work.group, request.deadline));
-				}
-
+				await this.#leaveTarget(work, target, tried, request);
 				continue;
 			}
 
@@ -175,15 +182,26 @@
 				return attempt.outcome;
 			}
 
-			tried.add(target.pool);
-			if (target.reign !== undefined) {
-				tried.clear();
-				await this.#measureWait(work, async () => this.#waitForChange(work.group, request.deadline));
+			if (attempt.failure && failures.push(attempt.failure) === maximumFailures) {
+				break;
 			}
+
+			await this.#leaveTarget(work, target, tried, request);
 		}
 
 		work.trace.reason ??= reason;
-		return {result: createError(StatementErrorCode.Overloaded, `${reason}; retry after ${retryPauseMilliseconds * 5} ms`)};
+		return {result: failures.at(-1) ?? createError(StatementErrorCode.Overloaded, `${reason}; retry after ${retryPauseMilliseconds * 5} ms`)};
+	}
+
+	/** Goes on to another replica after an attempt, or waits before the primary is tried again. */
+	async #leaveTarget(work: FirstStatement, {pool, reign}: Target, tried: Set<InstancePool>, request: WaitingRequest): Promise<void> {
+		if (reign === undefined) {
+			tried.add(pool);
+			return;
+		}
+
+		tried.clear();
+		await this.#measureWait(work, async () => this.#waitForChange(work.group, request.deadline));
 	}
 
 	#chooseTarget(group: InstanceGroupState, minimumPosition: LogPosition | undefined, tried: ReadonlySet<InstancePool>): Target | undefined {
@@ -224,6 +242,7 @@
 			serviceTime: pool.serviceTime,
 			isLocalZone: pool.instance.availabilityZone === this.#availabilityZone,
 			isRelayed: pool.isRelayed,
+			failureShare: pool.failureShare,
 			isBehind: lag !== undefined && now < lag.until && compareLogPositions(position, lag.missing) >= 0,
 			isReachable: pool.isResponsive(now),
 			isTried: tried.has(pool),
@@ -274,6 +293,7 @@
 
 	#handleAnswer(work: FirstStatement, target: Target, connection: PooledConnection, {result, sentAt}: {result: StatementResult; sentAt: number}): Attempt {
 		target.pool.noteAnswered(connection, this.#timer.now() - sentAt);
+		target.pool.noteOutcome(result.error !== undefined && failureCodes.has(result.error.code));
 		if (target.reign !== undefined && !result.error && result.position) {
 			work.group.ledger.observe(target.reign, result.position, sentAt);
 		}
@@ -288,6 +308,10 @@
 
 	#handleUnanswered(work: FirstStatement, target: Target, {progress, message}: {progress: Progress; message: string}, startedAt: number): Attempt {
 		const isSent = progress === Progress.Unanswered;
+		if (isSent) {
+			target.pool.noteOutcome(true);
+		}
+
 		this.#log.write('statement-unanswered', {
 			request: work.statement.identifier, group: work.group.name, instance: target.pool.instance.id, primary: target.reign !== undefined,
 			afterMilliseconds: Math.round(this.#timer.now() - startedAt), sent: isSent, repeatable: mayRepeat(work), reason: message,
@@ -326,12 +350,16 @@
 			target.pool.release(connection);
 		}
 
-		if (action === ErrorAction.Return) {
-			const status = work.begin ? TransactionStatus.Failed : TransactionStatus.Idle;
-			return {outcome: {result: {...result, status}}};
+		const failure = {...result, status: work.begin ? TransactionStatus.Failed : TransactionStatus.Idle};
+		if (action === ErrorAction.Return || (action === ErrorAction.RepeatIfHarmless && !mayRepeat(work))) {
+			return {outcome: {result: failure}};
 		}
 
 		work.trace.reason = code;
+		if (action === ErrorAction.RepeatIfHarmless) {
+			return {failure};
+		}
+
 		if (code === StatementErrorCode.Behind) {
 			this.#noteLag(target);
 		}
--- a/packages/direct/src/request/error-handling.ts
+++ b/packages/direct/src/request/error-handling.ts
@@ -4,6 +4,8 @@
 export enum ErrorAction {
 	/** Passes the error on to the client. */
 	Return = 'return',
+	/** Tries another instance if running the statement again does no harm; otherwise passes the error on. */
+	RepeatIfHarmless = 'repeat-if-harmless',
 	/** Tries another instance, or the same one later. */
 	TryElsewhere = 'try-elsewhere',
 	/** Tries the same instance after a short delay. */
@@ -12,7 +14,7 @@
 	ReplaceConnection = 'replace-connection',
 }
 
-/** Actions by the code of the error. Only codes that state "not run" are tried again. */
+/** Actions by the code of the error. Codes that do not state "not run" are tried again only where that does no harm. */
 export const actionOfErrorCode: Readonly<Record<StatementErrorCode, ErrorAction>> = {
 	[StatementErrorCode.Overloaded]: ErrorAction.TryLater,
 	[StatementErrorCode.Behind]: ErrorAction.TryElsewhere,
@@ -20,8 +22,8 @@
 	[StatementErrorCode.WrongInstance]: ErrorAction.ReplaceConnection,
 	[StatementErrorCode.TooManyConnections]: ErrorAction.ReplaceConnection,
 	[StatementErrorCode.UnknownPreparedStatement]: ErrorAction.ReplaceConnection,
-	[StatementErrorCode.Failed]: ErrorAction.Return,
-	[StatementErrorCode.TimedOut]: ErrorAction.Return,
+	[StatementErrorCode.Failed]: ErrorAction.RepeatIfHarmless,
+	[StatementErrorCode.TimedOut]: ErrorAction.RepeatIfHarmless,
 	[StatementErrorCode.Aborted]: ErrorAction.Return,
 	[StatementErrorCode.OutcomeUnknown]: ErrorAction.Return,
 	[StatementErrorCode.UnknownDatabase]: ErrorAction.Return,
--- a/packages/direct/src/request/index.ts
+++ b/packages/direct/src/request/index.ts
@@ -3,6 +3,7 @@
 export * from './connection-share.js';
 export * from './consistency.js';
 export * from './error-handling.js';
+export * from './failure-share.js';
 export * from './freshness-ledger.js';
 export * from './gateway-plan.js';
 export * from './majority.js';
--- a/packages/direct/src/request/read-placement.ts
+++ b/packages/direct/src/request/read-placement.ts
@@ -7,6 +7,8 @@
 	readonly isLocalZone: boolean;
 	/** Whether a gateway runs the statements. */
 	readonly isRelayed: boolean;
+	/** Share of the statements that it failed lately, from 0 to 1. */
+	readonly failureShare: number;
 	/** Whether the instance is known to lack what the read demands. */
 	readonly isBehind: boolean;
 	readonly isReachable: boolean;
@@ -21,7 +23,14 @@
 const relayMilliseconds = 3;
 
 /**
- * Chooses where a read runs: the candidate with the lowest expected finish time.
+ * Cost of a failed statement in milliseconds: the time until another instance is tried, which for a lost response is the
+ * silence after which a read is given up.
+ */
+const failureMilliseconds = 200;
+
+/**
+ * Chooses where a read runs: the candidate with the lowest expected finish time. One that fails statements gets fewer of
+ * them, never none for good: its share of failures fades, and all others may be busier.
  *
  * @param candidates - Replicas that may serve the read.
  * @returns Index of the candidate, or -1 if none is left.
@@ -36,7 +45,8 @@
 
 		const cost = ((candidate.load + 1) * candidate.serviceTime)
 			+ (candidate.isLocalZone ? 0 : zoneHopMilliseconds)
-			+ (candidate.isRelayed ? relayMilliseconds : 0);
+			+ (candidate.isRelayed ? relayMilliseconds : 0)
+			+ (candidate.failureShare * failureMilliseconds);
 		if (cost < bestCost) {
 			best = index;
 			bestCost = cost;
