Log samples of served statements and failures behind gateways

Cause: on-call engineers could not see how statements are placed while all goes well, and a statement that a gateway lost left a line only at the host that took it. A host that stops being a gateway while it holds relayed connections would have passed their statements on to another gateway.

Change: one statement a second and host that was served in time is logged as `statement-served`, with the count of those left out. A gateway logs the id of a statement that got no answer; the trace says whether a gateway ran it. A gateway whose own route leads through gateways refuses, as not sent.

--- a/packages/direct/src/connection/client-session.ts
+++ b/packages/direct/src/connection/client-session.ts
@@ -4,6 +4,7 @@
 import {type HostMetrics} from '../process/host-metrics.js';
 import {type InstanceGroupState} from '../process/instance-group-state.js';
 import {type SessionFloor} from '../request/freshness-ledger.js';
+import {type RoutineSample} from '../request/routine-sample.js';
 import {createStatementTrace} from '../request/statement-trace.js';
 import {StatementErrorCode} from '../request/statement-error-code.js';
 import {StatementKind} from '../request/statement-kind.js';
@@ -24,6 +25,8 @@
 	readonly log: EventLog;
 	readonly runner: StatementRunner;
 	readonly metrics: HostMetrics;
+	/** Chooses the statements that are logged although they were served in time. */
+	readonly routineSample: RoutineSample;
 	/** Returns the configuration in force, or `undefined` before one is known. */
 	getConfiguration(): DeploymentConfiguration | undefined;
 	/** Returns a group, or `undefined` if no configuration names it. */
@@ -123,7 +126,7 @@
 		}
 	}
 
-	/** Counts a statement that went to an instance, and logs it if it failed or was late. */
+	/** Counts a statement that went to an instance, and logs it if it failed, was late or is a sample of the others. */
 	#account(statement: Statement, result: StatementResult, startedAt: number): void {
 		const route = this.#transaction?.route ?? this.#findRoute();
 		const isLocal = result.completion === '-' && !result.error;
@@ -131,21 +134,34 @@
 			return;
 		}
 
-		const {timer, metrics, log} = this.#services;
+		const {timer, metrics, routineSample} = this.#services;
 		const durationMilliseconds = timer.now() - startedAt;
 		metrics.countStatement(route.priority, result.error?.code ?? 'completed', durationMilliseconds);
 		const isLate = durationMilliseconds > route.targetMilliseconds;
 		if (result.error ?? isLate) {
-			const {waitedMilliseconds, ...trace} = this.#trace;
-			log.write(result.error ? 'statement-failed' : 'statement-late', {
-				request: statement.identifier, kind: statement.kind, database: this.#database, group: route.group, rank: route.priority,
-				inTransaction: this.#transaction !== undefined, outcome: result.error?.code ?? 'completed', message: result.error?.message,
-				durationMilliseconds: Math.round(durationMilliseconds), waitedMilliseconds: Math.round(waitedMilliseconds),
-				configurationVersion: this.#services.getConfiguration()?.version, ...trace,
-			});
+			this.#logStatement(result.error ? 'statement-failed' : 'statement-late', statement, {route, result, durationMilliseconds});
+			return;
+		}
+
+		const skipped = routineSample.take(timer.now());
+		if (skipped !== undefined) {
+			this.#logStatement('statement-served', statement, {route, result, durationMilliseconds, skipped});
 		}
 	}
 
+	#logStatement(event: string, statement: Statement, {route, result, durationMilliseconds, skipped}: {
+		route: Route; result: StatementResult; durationMilliseconds: number; skipped?: number;
+	}): void {
+		const {log, getConfiguration} = this.#services;
+		const {waitedMilliseconds, ...trace} = this.#trace;
+		log.write(event, {
+			request: statement.identifier, kind: statement.kind, database: this.#database, group: route.group, rank: route.priority,
+			inTransaction: this.#transaction !== undefined, outcome: result.error?.code ?? 'completed', message: result.error?.message,
+			durationMilliseconds: Math.round(durationMilliseconds), waitedMilliseconds: Math.round(waitedMilliseconds),
+			configurationVersion: getConfiguration()?.version, skipped, ...trace,
+		});
+	}
+
 	#setValue({name, value}: Statement): StatementResult {
 		this.#values.set(name!, value!);
 		return this.#createLocalResult();
--- a/packages/direct/src/connection/relayed-connection.ts
+++ b/packages/direct/src/connection/relayed-connection.ts
@@ -193,6 +193,10 @@
 			return {result: outcome.result};
 		}
 
+		this.#log.write('relayed-statement-unanswered', {
+			request: 'statement' in entry ? entry.statement.identifier : undefined, instance: pool.instance.id, from: this.#socket.remoteAddress,
+			sent: outcome.progress === Progress.Unanswered, hostGone: this.#isClosed, reason: outcome.message,
+		});
 		connection.channel[Symbol.dispose]();
 		this.#settle(target, connection, TransactionStatus.Idle);
 		return {response: outcome.progress === Progress.NotSent
@@ -206,6 +210,11 @@
 			return 'the transaction has ended';
 		}
 
+		if (pool.isRelayed) {
+			// Hosts that know different hosts might otherwise relay a statement to each other.
+			return 'this host is no gateway to the instance any more';
+		}
+
 		const connection = await pool.acquire(this.#createRequest(urgency), {values: this.#values});
 		if (typeof connection === 'string') {
 			return `the connection is ${connection}`;
--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -261,6 +261,7 @@
 		const alignment = connection.align(context, definition);
 		const preamble: UpstreamStatement[] = begin ? [...alignment, {begin, ...position}] : alignment;
 		const startedAt = this.#timer.now();
+		trace.relayed = connection.isRelayed;
 		pool.noteSent(connection);
 		const outcome = await runStatement(
 			connection,
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -6,6 +6,7 @@
 import {type RelayHost, type RelayTarget} from '../connection/relayed-connection.js';
 import {StatementRunner} from '../connection/statement-runner.js';
 import {type UpstreamDialer} from '../connection/upstream-channel.js';
+import {RoutineSample} from '../request/routine-sample.js';
 import {type DeploymentConfiguration} from '../version/deployment-configuration.js';
 import {AuthorityWitness} from './authority-witness.js';
 import {ConnectionRoutes} from './connection-routes.js';
@@ -61,6 +62,7 @@
 export class DirectHost implements StoreListener, RelayHost, AsyncDisposable {
 	readonly #options: DirectHostOptions;
 	readonly #metrics = new HostMetrics();
+	readonly #routineSample = new RoutineSample();
 	readonly #groups = new Map<string, InstanceGroupState>();
 	/** Entries of instances whose group no configuration names yet. */
 	readonly #entries = new Map<string, InstanceEntry>();
@@ -173,7 +175,7 @@
 
 		const {timer, log} = this.#options;
 		const session = new ClientSession(database, {
-			timer, log, runner: this.#runner, metrics: this.#metrics,
+			timer, log, runner: this.#runner, metrics: this.#metrics, routineSample: this.#routineSample,
 			getConfiguration: () => this.#configuration,
 			getGroup: name => this.#groups.get(name),
 		});
--- a/packages/direct/src/request/index.ts
+++ b/packages/direct/src/request/index.ts
@@ -11,6 +11,7 @@
 export type * from './statement.js';
 export type * from './statement-origin.js';
 export * from './read-silence.js';
+export * from './routine-sample.js';
 export * from './statement-error-code.js';
 export * from './statement-kind.js';
 export type * from './statement-result.js';
--- a/packages/direct/src/request/statement-trace.ts
+++ b/packages/direct/src/request/statement-trace.ts
@@ -2,6 +2,8 @@
 export type StatementTrace = {
 	/** Times that the statement was sent to an instance. */
 	attempts: number;
+	/** Whether a gateway ran the last attempt. */
+	relayed?: boolean;
 	/** Time that it waited for connections, for a fresher position or for a primary, in milliseconds. */
 	waitedMilliseconds: number;
 	/** Instance that got it last. */
--- a/packages/direct/tests/connection/relay.test.ts
+++ b/packages/direct/tests/connection/relay.test.ts
@@ -172,6 +172,9 @@
 		{name: 'the reign is another one', prepare({state}: Relay) {
 			state.reign = 8;
 		}, progress: Progress.NotSent, runs: 0},
+		{name: 'the gateway uses another one by now', prepare({pool}: Relay) {
+			pool.setRoute({maximumConnections: 2, relay: {dial: async () => err({failure: ChannelFailure.NotRelayed, message: 'none'})}});
+		}, progress: Progress.NotSent, runs: 0},
 		{name: 'the pool is closed', prepare({pool}: Relay) {
 			void pool.close(0);
 		}, progress: Progress.NotSent, runs: 0},
--- a/packages/direct/tests/fleet/explanations.test.ts
+++ b/packages/direct/tests/fleet/explanations.test.ts
@@ -12,6 +12,29 @@
 	return fleet.hosts.flatMap(({log}) => log).filter(({fields}) => fields.group === 'orders').map(({event}) => event);
 }
 
+describe('the log samples', () => {
+	// Guards against placements that nobody can look at, and against a line for each statement.
+	it('one statement a second that was served in time, and counts the others', async () => {
+		const fleet = new FakeFleet();
+		await fleet.settle();
+		const session = fleet.open(0, Consistency.Primary);
+		const statements = 200;
+		for (let count = 0; count < statements; count++) {
+			await fleet.run(session, StatementKind.Write);
+			await fleet.timer.advance(20);
+		}
+
+		const lines = fleet.getEvents('statement-served');
+		const elapsedMilliseconds = lines.at(-1)!.at - lines[0]!.at;
+		expect(lines.length).toBeGreaterThanOrEqual(4);
+		expect(lines.length).toBeLessThanOrEqual((elapsedMilliseconds / 1000) + 1);
+		expect(lines[1]!.fields).toMatchObject({instance: 'orders-0', attempts: 1, outcome: 'completed'});
+		const skipped = lines.reduce((sum, {fields}) => sum + Number(fields.skipped), 0);
+		expect(skipped + lines.length).toBeLessThanOrEqual(statements);
+		expect(skipped + lines.length).toBeGreaterThan(statements * 0.7);
+	});
+});
+
 // Each case follows the steps of docs/OPERATIONS.md, from the identifier of a request to the cause.
 describe('the log explains', () => {
 	it('a request that was refused under load', async () => {
