Let gateways pass the longest statement on

Cause: frames between hosts were limited to 1 MiB, the length of a client's message. The frame of such a statement is longer: CBOR writes some characters as two bytes, and the arguments of a prepared statement are in it twice. The gateway closed the connection, and a write had an unknown outcome.

Change: a frame decoder takes its limit as a parameter; relays use 16 MiB.

--- a/packages/core/src/codec/frame-codec.ts
+++ b/packages/core/src/codec/frame-codec.ts
@@ -6,7 +6,7 @@
 /** Bytes of the length field in front of each frame. */
 const headerBytes = 4;
 
-/** Greatest length of a frame's body, in bytes. */
+/** Greatest length of a frame's body, in bytes, unless a decoder is given another one. */
 export const maximumFrameBytes = 1_048_576;
 
 /** Greatest number of elements of a list or map. The library reserves memory for the stated number before it reads them. */
@@ -47,8 +47,16 @@
 
 /** Splits a stream of bytes into frames. Buffers at most one frame. */
 export class FrameDecoder {
+	readonly #maximumBytes: number;
 	#pending: Buffer = Buffer.alloc(0);
 
+	/**
+	 * @param maximumBytes - Greatest length of a frame's body.
+	 */
+	constructor(maximumBytes = maximumFrameBytes) {
+		this.#maximumBytes = maximumBytes;
+	}
+
 	/**
 	 * Takes received bytes and returns the values of all frames that are now complete.
 	 *
@@ -61,7 +69,7 @@
 		let offset = 0;
 		while (this.#pending.length - offset >= headerBytes) {
 			const length = this.#pending.readUInt32BE(offset);
-			if (length > maximumFrameBytes) {
+			if (length > this.#maximumBytes) {
 				return err(FrameError.TooLong);
 			}
 
--- a/packages/direct/src/connection/relay-channel.ts
+++ b/packages/direct/src/connection/relay-channel.ts
@@ -5,7 +5,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type StatementOrigin} from '../request/statement-origin.js';
 import {type StatementResult} from '../request/statement-result.js';
-import {parseRelayResponse, type RelayRequest, RelayRequestKind, type RelayResponse, RelayResponseKind, type RelayUrgency} from './relay-messages.js';
+import {maximumRelayBytes, parseRelayResponse, type RelayRequest, RelayRequestKind, type RelayResponse, RelayResponseKind, type RelayUrgency} from './relay-messages.js';
 import {ChannelFailure, type ChannelError, type InstanceStatus, type UpstreamChannel, type UpstreamStatement} from './upstream-channel.js';
 
 type Pending = {
@@ -24,7 +24,7 @@
 	onSilent: (() => void) | undefined;
 	readonly #socket: Socket;
 	readonly #timer: TimerService;
-	readonly #decoder = new FrameDecoder();
+	readonly #decoder = new FrameDecoder(maximumRelayBytes);
 	#closed = false;
 	#isGatewayLeaving = false;
 	#isInTransaction = false;
--- a/packages/direct/src/connection/relay-messages.ts
+++ b/packages/direct/src/connection/relay-messages.ts
@@ -5,6 +5,12 @@
 import {StatementKind} from '../request/statement-kind.js';
 import {ChannelFailure, SessionCommand} from './upstream-channel.js';
 
+/**
+ * Greatest length of a message between a host and a gateway, in bytes. A statement of 1 MiB may take two bytes for each
+ * character and contain its arguments twice; the rest is for the rows of a result.
+ */
+export const maximumRelayBytes = 16_777_216;
+
 /** Messages from a host to a gateway. */
 export enum RelayRequestKind {
 	/** First message of a connection: names the instance. */
--- a/packages/direct/src/connection/relayed-connection.ts
+++ b/packages/direct/src/connection/relayed-connection.ts
@@ -8,7 +8,7 @@
 import {type WaitingRequest} from '../request/waiting-request.js';
 import {type InstancePool} from './instance-pool.js';
 import {type PooledConnection} from './pooled-connection.js';
-import {parseRelayRequest, type RelayRequest, RelayRequestKind, type RelayResponse, RelayResponseKind, type RelayUrgency} from './relay-messages.js';
+import {maximumRelayBytes, parseRelayRequest, type RelayRequest, RelayRequestKind, type RelayResponse, RelayResponseKind, type RelayUrgency} from './relay-messages.js';
 import {rollBackAndRelease} from './roll-back-and-release.js';
 import {Progress, runStatement} from './run-statement.js';
 import {ChannelFailure, SessionCommand, type UpstreamStatement} from './upstream-channel.js';
@@ -40,7 +40,7 @@
 	readonly #host: RelayHost;
 	readonly #timer: TimerService;
 	readonly #log: EventLog;
-	readonly #decoder = new FrameDecoder();
+	readonly #decoder = new FrameDecoder(maximumRelayBytes);
 	readonly #values = new Map<string, string>();
 	readonly #prepared = new Map<string, PreparedDefinition>();
 	#target: RelayTarget | undefined;
--- a/packages/direct/tests/connection/relay.test.ts
+++ b/packages/direct/tests/connection/relay.test.ts
@@ -117,6 +117,17 @@
 		expect(group.runs).toMatchObject([{identifier: 'w1', text: 'write w1', isInTransaction: false}]);
 	});
 
+	// Guards against the longest message of a client, with characters of two bytes each, that no relay lets through.
+	it('passes the longest statement on', async () => {
+		const {group, open} = await startGateway();
+		using channel = await open();
+		const text = `WRITE k ${'\u00FF'.repeat(1_048_000)}`;
+		const statement = {identifier: 'w1', kind: StatementKind.Execute, text, argumentsText: text.slice(5)};
+		const outcome = await channel.run([{statement}], timer.now() + 2000, createOrigin());
+		expect(outcome._unsafeUnwrap()[0]).toMatchObject({completion: 'proof-w1'});
+		expect(group.runs[0]!.text).toBe(text);
+	});
+
 	// Guards against session values of one host's client that hold for another one's.
 	it('aligns the connection with the values of each session', async () => {
 		const {group, open} = await startGateway(1);
