Keep to the instance whose promotion was ordered

Cause: the record of a change named the candidate of the last order, but the next attempt used it only to forbid that the change is abandoned. A host that took the change over chose an instance anew and settled on one that led a term above the record's, while the order of another instance was still to take effect.

Change: while an earlier order may take effect (order delay plus promotion timeout, 3 s after its record, the sum that restored stores use already), only its candidate is eligible. An instance that leads already, although another one may have been promoted since, is the primary once it leads a later term or once an accepted order has left its term unchanged for the promotion timeout. The choice is a pure function, and candidate-chosen logs its inputs.

Why it works: hosts use an instance only if no order that could replace it is outstanding, and if its term is not older than that of an instance which nobody could ask.

--- a/packages/direct/src/process/group-record.ts
+++ b/packages/direct/src/process/group-record.ts
@@ -19,6 +19,8 @@
 	readonly term: number;
 	/** Instance whose promotion may have been ordered during this change. */
 	readonly candidate?: string;
+	/** Term that the candidate led before its promotion was ordered, if another instance may have been promoted since. */
+	readonly candidateTerm?: number;
 	/** Host that wrote the record. */
 	readonly promoter: string;
 	/** Number that increases with each change of the promoter. */
--- a/packages/direct/src/process/primary-change.ts
+++ b/packages/direct/src/process/primary-change.ts
@@ -1,6 +1,8 @@
 import {randomUUID} from 'node:crypto';
 import {compareLogPositions} from '@tarragonstack/core/request/log-position';
+import {type Result} from 'neverthrow';
 import {type InstanceStatus, type UpstreamChannel} from '../connection/upstream-channel.js';
+import {type CandidateChoice, type CandidateReport, chooseCandidate} from '../request/candidate-choice.js';
 import {getCandidateQuorum} from '../request/candidate-quorum.js';
 import {ConfirmationOutcome, ConfirmationWait} from './confirmation-wait.js';
 import {commitGroupRecord} from './commit-group-record.js';
@@ -26,6 +28,9 @@
  */
 export const maximumOrderDelayMilliseconds = 500;
 
+/** Time after the record of a promotion was written until the promotion can no longer take effect, in milliseconds. */
+export const orderEffectMilliseconds = maximumOrderDelayMilliseconds + promotionTimeoutMilliseconds;
+
 /** Reason for replacing a primary. */
 export enum ChangeReason {
 	/** The primary is about to stop but still responds, so no commits need to be lost. */
@@ -36,25 +41,45 @@
 	LostToOthers = 'lost-to-others',
 }
 
+/** Instance to be promoted, with the term that it leads already if another one may have been promoted since. */
+type Candidate = {
+	readonly known: KnownInstance;
+	readonly fromTerm: number | undefined;
+};
+
+/** Monotonic times after which promotions that were ordered before this attempt no longer take effect. */
+type EarlierOrders = {
+	/** End for the candidate of the record. */
+	readonly recordedUntil: number;
+	/** End for orders that the store has lost. */
+	readonly unknownUntil: number;
+};
+
 /** Attempt to replace the primary of a group. */
 export class PrimaryChange {
 	readonly #context: PromotionContext;
 	readonly #group: InstanceGroupState;
 	readonly #promoterRecord: PromoterRecord;
 	readonly #reason: ChangeReason;
+	readonly #formerOrdersEndAt: number;
 	readonly #startedAt: number;
 
 	/**
 	 * @param context - Dependencies.
 	 * @param group - Group whose primary changes.
-	 * @param promoterRecord - Promoter record of this host.
-	 * @param reason - Reason for replacing the primary.
+	 * @param options - Promoter record of this host, reason for replacing the primary, and monotonic time after which no
+	 * promotion of an earlier era of the store takes effect.
 	 */
-	constructor(context: PromotionContext, group: InstanceGroupState, promoterRecord: PromoterRecord, reason: ChangeReason) {
+	constructor(
+		context: PromotionContext,
+		group: InstanceGroupState,
+		{promoterRecord, reason, formerOrdersEndAt}: {promoterRecord: PromoterRecord; reason: ChangeReason; formerOrdersEndAt: number},
+	) {
 		this.#context = context;
 		this.#group = group;
 		this.#promoterRecord = promoterRecord;
 		this.#reason = reason;
+		this.#formerOrdersEndAt = formerOrdersEndAt;
 		this.#startedAt = context.timer.now();
 	}
 
@@ -65,8 +90,10 @@
 	 */
 	async run(base: VersionedGroupRecord): Promise<void> {
 		const {log} = this.#context;
-		const {primary, term, candidate, mayBePromoting} = base;
-		const announced = await this.#commitRecord(base, {phase: GroupPhase.Announced, primary, term, ...(candidate && {candidate}), ...(mayBePromoting && {mayBePromoting})});
+		const {primary, term, candidate, candidateTerm, mayBePromoting} = base;
+		const announced = await this.#commitRecord(base, {
+			phase: GroupPhase.Announced, primary, term, ...(candidate && {candidate}), ...(candidateTerm && {candidateTerm}), ...(mayBePromoting && {mayBePromoting}),
+		});
 		if (!announced) {
 			return;
 		}
@@ -89,23 +116,27 @@
 			return;
 		}
 
-		await this.#promote(announced);
+		await this.#promote(announced, {
+			recordedUntil: candidate === undefined ? 0 : base.learntAt + orderEffectMilliseconds,
+			unknownUntil: mayBePromoting ? this.#formerOrdersEndAt : 0,
+		});
 	}
 
-	async #promote(announced: VersionedGroupRecord): Promise<void> {
+	async #promote(announced: VersionedGroupRecord, earlierOrders: EarlierOrders): Promise<void> {
 		const {log, timer} = this.#context;
-		const candidate = await this.#chooseCandidate(announced);
+		const candidate = await this.#findCandidate(announced, earlierOrders);
 		if (!candidate) {
 			log.write('change-stalled', {group: this.#group.name, reason: 'no instance is eligible for promotion'});
 			return;
 		}
 
-		const {id} = candidate.pool.instance;
-		if (!(await this.#orderPromotion(announced, id))) {
+		const {id} = candidate.known.pool.instance;
+		const answer = await this.#orderPromotion(announced, candidate);
+		if (!answer || (answer.isOk() && answer.value === PromotionAnswer.InstanceNotRunning)) {
 			return;
 		}
 
-		const status = await this.#waitUntilPrimary(candidate, announced.term);
+		const status = await this.#waitUntilPrimary(candidate, announced.term, answer.isOk());
 		const {record} = this.#group;
 		if (!status || record?.changeIdentifier !== announced.changeIdentifier) {
 			log.write('change-stalled', {group: this.#group.name, reason: 'the promoted instance did not become the primary'});
@@ -117,51 +148,71 @@
 			group: this.#group.name, primary: id, term: status.term, known: settled !== undefined, durationMilliseconds: Math.round(timer.now() - this.#startedAt),
 		});
 		const old = this.#group.instances.get(announced.primary);
-		if (old && old !== candidate) {
+		if (old && old !== candidate.known) {
 			void this.#demote(old, status.term);
 		}
 	}
 
-	/** Orders the promotion. Returns whether it may have been accepted. */
-	async #orderPromotion(announced: VersionedGroupRecord, instance: string): Promise<boolean> {
+	/** Orders the promotion. Returns the answer, or `undefined` if nothing was ordered. */
+	async #orderPromotion(announced: VersionedGroupRecord, {known, fromTerm}: Candidate): Promise<Result<PromotionAnswer, string> | undefined> {
 		const {timer, suspension, promotions, metrics, log, hostName} = this.#context;
+		const {id: instance} = known.pool.instance;
 		suspension.check();
 		const verifiedAt = timer.now();
 		const {primary, term} = announced;
-		if (!(await this.#commitRecord(announced, {phase: GroupPhase.Promoting, primary, candidate: instance, term}))) {
-			return false;
+		const ordered = await this.#commitRecord(announced, {
+			phase: GroupPhase.Promoting, primary, candidate: instance, term, ...(fromTerm !== undefined && {candidateTerm: fromTerm}),
+		});
+		if (!ordered) {
+			return undefined;
 		}
 
 		// Another host may have become the promoter while this process was suspended.
 		if (suspension.check() || timer.now() - verifiedAt > maximumOrderDelayMilliseconds) {
 			log.write('change-stalled', {group: this.#group.name, reason: 'the process was delayed before the promotion order'});
-			return false;
+			return undefined;
 		}
 
 		const {fencingToken} = this.#promoterRecord;
 		const answer = await promotions.promote({group: this.#group.name, instance, holder: hostName, fencingToken}, callTimeoutMilliseconds);
 		metrics.countPromotion(answer.unwrapOr('unanswered'));
-		log.write('promotion-ordered', {group: this.#group.name, instance, fencingToken, outcome: answer.isOk() ? answer.value : answer.error});
-		return answer.isErr() || answer.value !== PromotionAnswer.InstanceNotRunning;
+		log.write('promotion-ordered', {group: this.#group.name, instance, fencingToken, fromTerm, outcome: answer.isOk() ? answer.value : answer.error});
+		if (answer.isOk() && answer.value === PromotionAnswer.InstanceNotRunning && announced.candidate !== instance) {
+			// The next attempt need not wait for the effect of an order that was refused.
+			const {candidate, candidateTerm} = announced;
+			await this.#commitRecord(ordered, {
+				phase: GroupPhase.Announced, primary, term, ...(candidate && {candidate}), ...(candidateTerm && {candidateTerm}),
+			});
+		}
+
+		return answer;
 	}
 
 	/**
-	 * Returns the instance with the highest received log position, or `undefined` if too few respond. Instances that are not
-	 * about to stop are preferred.
+	 * Returns the instance to be promoted, or `undefined` if too few respond. Waits while a promotion that was ordered earlier
+	 * may take effect, and until a planned change loses no commits.
 	 */
-	async #chooseCandidate(announced: GroupRecord): Promise<KnownInstance | undefined> {
-		const {timer, dialer} = this.#context;
-		const until = timer.now() + catchUpMilliseconds;
+	async #findCandidate(announced: GroupRecord, earlierOrders: EarlierOrders): Promise<Candidate | undefined> {
+		const {timer, dialer, log} = this.#context;
+		const caughtUpUntil = timer.now() + catchUpMilliseconds;
+		const until = Math.max(caughtUpUntil, earlierOrders.recordedUntil + pollIntervalMilliseconds, earlierOrders.unknownUntil + pollIntervalMilliseconds);
 		const primary = this.#group.instances.get(announced.primary);
 		const primaryStatus = this.#reason === ChangeReason.Leaving && primary ? await readInstanceStatus(primary.pool.instance, dialer, timer) : undefined;
 		for (;;) {
-			const {best, isQuorum} = await this.#findMostAdvanced(announced.primary);
-			const isCaughtUp = best !== undefined && (primaryStatus === undefined || compareLogPositions(best.status.received, primaryStatus.received) >= 0);
-			if (isQuorum && (isCaughtUp || timer.now() >= until)) {
-				return best?.known;
+			const now = timer.now();
+			const {choice, reports} = await this.#choose(announced, {isOrderPending: now < earlierOrders.recordedUntil, isUnknownOrderPending: now < earlierOrders.unknownUntil});
+			const known = choice && this.#group.instances.get(choice.id);
+			const report = reports.find(({id}) => id === choice?.id);
+			const isCaughtUp = report !== undefined && (primaryStatus === undefined || compareLogPositions(report.received, primaryStatus.received) >= 0);
+			if (known && (isCaughtUp || now >= caughtUpUntil)) {
+				log.write('candidate-chosen', {
+					group: this.#group.name, instance: choice.id, fromTerm: choice.fromTerm, ordered: announced.candidate,
+					pending: now < earlierOrders.recordedUntil, reports: JSON.stringify(reports),
+				});
+				return {known, fromTerm: choice.fromTerm};
 			}
 
-			if (timer.now() >= until) {
+			if (now >= until) {
 				return undefined;
 			}
 
@@ -169,38 +220,45 @@
 		}
 	}
 
-	/**
-	 * Returns the replica with the highest log position, and whether enough replicas responded that one of them holds every
-	 * commit that must survive.
-	 */
-	async #findMostAdvanced(primary: string): Promise<{best: {known: KnownInstance; status: InstanceStatus} | undefined; isQuorum: boolean}> {
+	async #choose(
+		{primary, term, candidate, candidateTerm, mayBePromoting}: GroupRecord,
+		pending: {isOrderPending: boolean; isUnknownOrderPending: boolean},
+	): Promise<{choice: CandidateChoice | undefined; reports: CandidateReport[]}> {
 		const {timer, dialer} = this.#context;
 		const others = [...this.#group.instances.values()].filter(({pool}) => pool.instance.id !== primary);
-		const answers = await Promise.all(others.map(async known => ({known, status: await readInstanceStatus(known.pool.instance, dialer, timer)})));
-		const reports = answers.filter((answer): answer is {known: KnownInstance; status: InstanceStatus} => answer.status !== undefined);
-		const isQuorum = reports.length >= getCandidateQuorum(others.length, this.#group.synchronousReplicas);
-		const [best] = reports
-			.toSorted((left, right) => {
-				const leaving = Number(left.known.pool.instance.leaving) - Number(right.known.pool.instance.leaving);
-				return leaving === 0 ? compareLogPositions(right.status.received, left.status.received) : leaving;
-			});
-		return {best, isQuorum};
+		const answers = await Promise.all(others.map(async ({pool: {instance}}) => ({instance, status: await readInstanceStatus(instance, dialer, timer)})));
+		const reports = answers.flatMap(({instance: {id, leaving}, status}) => status ? [{id, isLeaving: leaving, ...status}] : []);
+		const choice = chooseCandidate(reports, {
+			term,
+			// The store may have lost an order that followed the one in the record.
+			...(!mayBePromoting && {ordered: candidate, orderedFromTerm: candidateTerm}),
+			...pending,
+			instances: others.length,
+			quorum: getCandidateQuorum(others.length, this.#group.synchronousReplicas),
+		});
+		return {choice, reports};
 	}
 
-	async #waitUntilPrimary(known: KnownInstance, previousTerm: number): Promise<InstanceStatus | undefined> {
+	/**
+	 * Waits until the candidate leads a term that is due to its promotion. An accepted order leaves the present primary
+	 * unchanged, so one that still leads `fromTerm` after the wait is the present primary.
+	 */
+	async #waitUntilPrimary({known, fromTerm}: Candidate, previousTerm: number, isAccepted: boolean): Promise<InstanceStatus | undefined> {
 		const {timer, dialer} = this.#context;
 		const until = timer.now() + promotionTimeoutMilliseconds;
 		let channel: UpstreamChannel | undefined;
+		let latest: InstanceStatus | undefined;
 		try {
 			while (timer.now() < until) {
 				if (!channel || channel.closed) {
 					const dialled = await dialer.dial(known.pool.instance, statusTimeoutMilliseconds);
-					channel = dialled.isOk() ? dialled.value : undefined;
+					channel = dialled.unwrapOr(undefined);
 				}
 
 				const status = await channel?.readStatus(timer.now() + statusTimeoutMilliseconds);
-				if (status?.isOk() && status.value.isPrimary && status.value.term > previousTerm) {
-					return status.value;
+				latest = status?.unwrapOr(undefined);
+				if (latest && leadsAfter(latest, fromTerm ?? previousTerm)) {
+					return latest;
 				}
 
 				await timer.sleep(pollIntervalMilliseconds);
@@ -209,7 +267,7 @@
 			channel?.[Symbol.dispose]();
 		}
 
-		return undefined;
+		return isAccepted && latest && fromTerm !== undefined && leadsAfter(latest, fromTerm - 1) ? latest : undefined;
 	}
 
 	/** Demotes a replaced primary to a replica. It also demotes itself once it reaches the new primary. */
@@ -227,10 +285,18 @@
 		log.write('demoted', {instance: instance.id, term, outcome: outcome.isOk() ? 'accepted' : outcome.error.message});
 	}
 
-	async #commitRecord(from: VersionedGroupRecord, change: Pick<GroupRecord, 'phase' | 'primary' | 'candidate' | 'term' | 'mayBePromoting'>): Promise<VersionedGroupRecord | undefined> {
+	async #commitRecord(
+		from: VersionedGroupRecord,
+		change: Pick<GroupRecord, 'phase' | 'primary' | 'candidate' | 'candidateTerm' | 'term' | 'mayBePromoting'>,
+	): Promise<VersionedGroupRecord | undefined> {
 		return commitGroupRecord(this.#context, this.#group, from.revision, {
 			...change, promoter: this.#promoterRecord.host, fencingToken: this.#promoterRecord.fencingToken,
 			changeIdentifier: change.phase === GroupPhase.Announced ? randomUUID() : from.changeIdentifier,
 		});
 	}
 }
+
+/** Returns whether an instance leads a term later than the given one. */
+function leadsAfter({isPrimary, term}: InstanceStatus, earlierTerm: number): boolean {
+	return isPrimary && term > earlierTerm;
+}
--- a/packages/direct/src/process/promotion-coordinator.ts
+++ b/packages/direct/src/process/promotion-coordinator.ts
@@ -9,7 +9,7 @@
 import {readInstanceStatus} from './instance-status.js';
 import {peerRenewalLimitMilliseconds} from './peer-authority-renewer.js';
 import {authorityMarginMilliseconds, authorityMilliseconds} from './primary-authority.js';
-import {ChangeReason, maximumOrderDelayMilliseconds, PrimaryChange, promotionTimeoutMilliseconds} from './primary-change.js';
+import {ChangeReason, orderEffectMilliseconds, PrimaryChange, promotionTimeoutMilliseconds} from './primary-change.js';
 import {type PromoterRecord} from './promoter-record.js';
 import {callTimeoutMilliseconds, pollIntervalMilliseconds, type PromotionContext} from './promotion-context.js';
 
@@ -50,9 +50,6 @@
  */
 const unsettledRecordDelayMilliseconds = 500;
 
-/** Time after a new era of the store was noticed until no promotion that was ordered before takes effect any longer, in milliseconds. */
-const formerOrderMilliseconds = maximumOrderDelayMilliseconds + promotionTimeoutMilliseconds;
-
 /** Time after the last renewal by an earlier era of the store until no host uses a primary because of it, in milliseconds. */
 const formerAuthorityMilliseconds = authorityMilliseconds + authorityMarginMilliseconds;
 
@@ -150,6 +147,11 @@
 		}
 	}
 
+	/** Monotonic time after which no promotion that was ordered in an earlier era of the store takes effect. */
+	get #formerOrdersEndAt(): number {
+		return this.#eraEnteredAt + orderEffectMilliseconds;
+	}
+
 	/** Handles a new era of the store, in which every group lacks a record. */
 	handleEraEntered(): void {
 		this.#requiredSince.clear();
@@ -194,9 +196,9 @@
 			return;
 		}
 
-		const {phase, primary, term, candidate, changeIdentifier} = former;
+		const {phase, primary, term, candidate, candidateTerm, changeIdentifier} = former;
 		void this.#createRecord(group, {
-			phase, primary, term, changeIdentifier, ...(candidate && {candidate}), ...(isSettled ? {reign: getReign(former)} : {mayBePromoting: true}),
+			phase, primary, term, changeIdentifier, ...(candidate && {candidate}), ...(candidateTerm && {candidateTerm}), ...(isSettled ? {reign: getReign(former)} : {mayBePromoting: true}),
 		});
 	}
 
@@ -237,7 +239,7 @@
 		}
 
 		const renewedUntil = Math.min(this.#majoritySince ?? Number.POSITIVE_INFINITY, this.#eraEnteredAt + peerRenewalLimitMilliseconds);
-		return Math.max(this.#eraEnteredAt + formerOrderMilliseconds, renewedUntil + formerAuthorityMilliseconds);
+		return Math.max(this.#formerOrdersEndAt, renewedUntil + formerAuthorityMilliseconds);
 	}
 
 	async #createRecord(group: InstanceGroupState, record: NewGroupRecord): Promise<void> {
@@ -355,7 +357,9 @@
 			void this.#runExclusively(group, async () => {
 				const ownRecord = promoterRecord ?? await this.#claimPromoterRole();
 				if (ownRecord) {
-					await new PrimaryChange(this.#context, group, ownRecord, this.#getReason(group, record)).run(record);
+					await new PrimaryChange(this.#context, group, {
+						promoterRecord: ownRecord, reason: this.#getReason(group, record), formerOrdersEndAt: this.#formerOrdersEndAt,
+					}).run(record);
 				}
 			});
 		}
--- /dev/null
+++ b/packages/direct/src/request/candidate-choice.ts
@@ -0,0 +1,86 @@
+import {compareLogPositions, type LogPosition} from '@tarragonstack/core/request/log-position';
+
+/** Report of an instance that may be promoted. */
+export type CandidateReport = {
+	readonly id: string;
+	/** Whether the instance is about to stop. */
+	readonly isLeaving: boolean;
+	readonly isPrimary: boolean;
+	readonly term: number;
+	/** Last log position that the instance has received. */
+	readonly received: LogPosition;
+};
+
+/** Change of the primary, as far as the choice of a candidate depends on it. */
+export type CandidateSituation = {
+	/** Term of the primary that is being replaced. */
+	readonly term: number;
+	/** Instance whose promotion was ordered last, or `undefined`. */
+	readonly ordered?: string | undefined;
+	/** Term that `ordered` led before its promotion was ordered, or `undefined`. */
+	readonly orderedFromTerm?: number | undefined;
+	/** Whether the promotion of `ordered` may still take effect. */
+	readonly isOrderPending: boolean;
+	/** Whether the promotion of an instance that nobody remembers may still take effect. */
+	readonly isUnknownOrderPending: boolean;
+	/** Number of instances that may be promoted, including those without a report. */
+	readonly instances: number;
+	/** Number of reports that are needed for the most advanced instance to hold every commit that must survive. */
+	readonly quorum: number;
+};
+
+/** Instance to be promoted. */
+export type CandidateChoice = {
+	readonly id: string;
+	/**
+	 * Term that the instance leads already, if another instance may have been promoted since; otherwise `undefined`. The
+	 * instance is the primary only once it leads a later term, or once an accepted order has left this one unchanged.
+	 */
+	readonly fromTerm?: number;
+};
+
+/**
+ * Chooses the instance to be promoted.
+ *
+ * While an earlier order may take effect, only the instance of that order is eligible: if hosts used another one, the order
+ * would replace it behind their backs. Otherwise, the instance that leads the latest term is preferred, then the one with the
+ * highest log position. Instances that are not about to stop go first.
+ *
+ * @param reports - Reports of the instances that responded.
+ * @param situation - State of the change.
+ * @returns The choice, or `undefined` if no instance is eligible at present.
+ */
+export function chooseCandidate(reports: readonly CandidateReport[], situation: CandidateSituation): CandidateChoice | undefined {
+	const {ordered, isOrderPending, isUnknownOrderPending, quorum} = situation;
+	if (isUnknownOrderPending) {
+		return undefined;
+	}
+
+	if (isOrderPending) {
+		const report = reports.find(({id}) => id === ordered);
+		return report && createChoice(report, reports, situation);
+	}
+
+	if (reports.length < quorum) {
+		return undefined;
+	}
+
+	const [best] = reports.toSorted((left, right) => Number(left.isLeaving) - Number(right.isLeaving)
+		|| getLedTerm(right, situation) - getLedTerm(left, situation)
+		|| compareLogPositions(right.received, left.received));
+	return best && createChoice(best, reports, situation);
+}
+
+function createChoice(report: CandidateReport, reports: readonly CandidateReport[], situation: CandidateSituation): CandidateChoice {
+	const {id} = report;
+	const ledTerm = getLedTerm(report, situation);
+	const isLatestLead = situation.ordered === id
+		? ledTerm > (situation.orderedFromTerm ?? situation.term)
+		: !situation.isOrderPending && reports.length === situation.instances && reports.every(({term}) => term <= ledTerm);
+	return ledTerm === 0 || isLatestLead ? {id} : {id, fromTerm: ledTerm};
+}
+
+/** Returns the term that an instance leads, or 0 if it was not promoted during the change. */
+function getLedTerm({isPrimary, term}: CandidateReport, situation: CandidateSituation): number {
+	return isPrimary && term > situation.term ? term : 0;
+}
--- a/packages/direct/src/request/index.ts
+++ b/packages/direct/src/request/index.ts
@@ -1,3 +1,4 @@
+export * from './candidate-choice.js';
 export * from './candidate-quorum.js';
 export * from './congestion-window.js';
 export * from './connection-share.js';
--- a/packages/direct/tests/fleet/promotion.test.ts
+++ b/packages/direct/tests/fleet/promotion.test.ts
@@ -79,6 +79,17 @@
 	},
 ];
 
+/** Advances the time in steps of 1 ms until a state is reached. */
+async function advanceUntil(fleet: FakeFleet, isReached: () => boolean): Promise<void> {
+	for (let step = 0; !isReached(); step++) {
+		if (step === 20_000) {
+			throw new Error('the expected state was not reached within 20 s');
+		}
+
+		await fleet.timer.advance(1);
+	}
+}
+
 function isolate(host: FakeHost, fleet: FakeFleet, reachable: readonly string[]): void {
 	host.store.isUnavailable = true;
 	for (const other of fleet.hosts) {
@@ -194,6 +205,85 @@
 		}
 	});
 
+	// Guards against acknowledged writes at a primary that an order of an earlier promoter replaces (review/1).
+	it('keeps to the instance that an earlier promoter has ordered', async () => {
+		const fleet = new FakeFleet();
+		await fleet.waitUntilReady();
+		const writers = fleet.startWriters();
+		await fleet.timer.advance(500);
+		fleet.group.get('orders-0').isDown = true;
+		await advanceUntil(fleet, () => fleet.promotions.length === 1);
+		const [first] = fleet.promotions;
+		await fleet.timer.advance(500);
+		for (const {name} of fleet.hosts) {
+			fleet.group.get(first!.instance).unreachableFrom.add(name);
+		}
+
+		await advanceUntil(fleet, () => fleet.promotions.length === 2);
+		const {holder, instance} = fleet.promotions[1]!;
+		expect(instance).not.toBe(first!.instance);
+		fleet.group.get(first!.instance).unreachableFrom.clear();
+		await Promise.race([fleet.hosts.find(({name}) => name === holder)!.host[Symbol.asyncDispose](), fleet.timer.advance(10)]);
+		await fleet.timer.advance(6000);
+		writers.stop();
+		await fleet.timer.advance(1500);
+
+		expect(fleet.getLateCommits(writers.results)).toEqual([]);
+		expect(fleet.getLeader()).toBe(instance);
+		expect(writers.results.filter(({at, result}) => !result.error && at > fleet.timer.now() - 4000).length).toBeGreaterThan(100);
+	});
+
+	// Guards against a second replacement of the primary while a promotion without an answer may still take effect.
+	it('waits for the effect of an earlier order before it promotes another instance', async () => {
+		const fleet = new FakeFleet();
+		await fleet.waitUntilReady();
+		const writers = fleet.startWriters();
+		await fleet.timer.advance(500);
+		fleet.group.get('orders-0').isDown = true;
+		await advanceUntil(fleet, () => fleet.promotions.length === 1);
+		const {instance, holder} = fleet.promotions[0]!;
+		const orderedAt = fleet.timer.now();
+		for (const {name} of fleet.hosts) {
+			fleet.group.get(instance).unreachableFrom.add(name);
+		}
+
+		await Promise.race([fleet.hosts.find(({name}) => name === holder)!.host[Symbol.asyncDispose](), fleet.timer.advance(10)]);
+		await advanceUntil(fleet, () => fleet.promotions.length === 2);
+		expect(fleet.promotions[1]!.instance).not.toBe(instance);
+		expect(fleet.timer.now() - orderedAt).toBeGreaterThan(2500);
+		await fleet.timer.advance(4000);
+		writers.stop();
+		await fleet.timer.advance(1500);
+		expect(fleet.getLateCommits(writers.results)).toEqual([]);
+		expect(fleet.getLeader()).toBe(fleet.promotions[1]!.instance);
+	});
+
+	// Guards against writes at an instance that leads a term although a later order has replaced it.
+	it('does not settle on the earlier of two instances that it has promoted', async () => {
+		const fleet = new FakeFleet();
+		await fleet.waitUntilReady();
+		const writers = fleet.startWriters();
+		await fleet.timer.advance(500);
+		fleet.group.get('orders-0').isDown = true;
+		for (const order of [1, 2]) {
+			await advanceUntil(fleet, () => fleet.promotions.length === order);
+			for (const {name} of fleet.hosts) {
+				fleet.group.get(fleet.promotions.at(-1)!.instance).unreachableFrom.add(name);
+			}
+		}
+
+		const [first, second] = fleet.promotions;
+		await advanceUntil(fleet, () => fleet.group.promotions.length === 2);
+		fleet.group.get(first!.instance).unreachableFrom.clear();
+		await fleet.timer.advance(8000);
+		writers.stop();
+		await fleet.timer.advance(1500);
+		expect(first!.instance).not.toBe(second!.instance);
+		expect(fleet.getLateCommits(writers.results)).toEqual([]);
+		expect(fleet.group.promotions.at(-1)).toMatchObject({instance: first!.instance, term: 4});
+		expect(writers.results.filter(({at, result}) => !result.error && at > fleet.timer.now() - 4000).length).toBeGreaterThan(100);
+	});
+
 	// Guards against changes that wait again and again for a host that is permanently gone.
 	it('removes the record of a host that has vanished, and waits for it no more', async () => {
 		const fleet = new FakeFleet();
--- /dev/null
+++ b/packages/direct/tests/request/candidate-choice.test.ts
@@ -0,0 +1,31 @@
+import {describe, expect, it} from 'vitest';
+import {type CandidateReport, type CandidateSituation, chooseCandidate} from '../../src/index.js';
+
+const first: CandidateReport = {id: 'first', isLeaving: false, isPrimary: false, term: 1, received: {term: 1, index: 10}};
+const second: CandidateReport = {...first, id: 'second'};
+const advanced: CandidateReport = {...second, received: {term: 1, index: 11}};
+const leading: CandidateReport = {...first, isPrimary: true, term: 2};
+const leadingLater: CandidateReport = {...second, isPrimary: true, term: 3};
+const calm: CandidateSituation = {term: 1, isOrderPending: false, isUnknownOrderPending: false, instances: 2, quorum: 1};
+const pending: CandidateSituation = {...calm, ordered: 'first', isOrderPending: true};
+
+describe('chooseCandidate', () => {
+	it.each<{name: string; reports: CandidateReport[]; situation: CandidateSituation; expected: ReturnType<typeof chooseCandidate>}>([
+		{name: 'the most advanced instance', reports: [first, advanced], situation: calm, expected: {id: 'second'}},
+		{name: 'one that stays rather than the most advanced one', reports: [first, {...advanced, isLeaving: true}], situation: calm, expected: {id: 'first'}},
+		{name: 'none without a quorum', reports: [first], situation: {...calm, quorum: 2}, expected: undefined},
+		{name: 'none without reports', reports: [], situation: calm, expected: undefined},
+		{name: 'the ordered one while its promotion may take effect', reports: [first, advanced], situation: pending, expected: {id: 'first'}},
+		{name: 'none while the ordered one does not respond', reports: [advanced], situation: pending, expected: undefined},
+		{name: 'none while a forgotten order may take effect', reports: [first, advanced], situation: {...calm, isUnknownOrderPending: true}, expected: undefined},
+		{name: 'another one after the order can no longer take effect', reports: [advanced], situation: {...pending, isOrderPending: false}, expected: {id: 'second'}},
+		{name: 'the ordered one that leads', reports: [leading], situation: pending, expected: {id: 'first'}},
+		{name: 'the ordered one, with the term that it led before', reports: [leading], situation: {...pending, orderedFromTerm: 2}, expected: {id: 'first', fromTerm: 2}},
+		{name: 'the one that leads the latest term', reports: [leading, leadingLater], situation: calm, expected: {id: 'second'}},
+		{name: 'the only one that leads if all respond', reports: [leading, advanced], situation: calm, expected: {id: 'first'}},
+		{name: 'the one that leads, with its term if another may lead a later one', reports: [leading], situation: calm, expected: {id: 'first', fromTerm: 2}},
+		{name: 'the one that leads, with its term if a replica knows a later one', reports: [leading, {...second, term: 3}], situation: calm, expected: {id: 'first', fromTerm: 2}},
+	])('is $name', ({reports, situation, expected}) => {
+		expect(chooseCandidate(reports, situation)).toEqual(expected);
+	});
+});
