Replace a primary of the record that has become a replica

Cause: a host suspects a primary that is silent, unreachable or unknown. One that answers READONLY is none of these, so no host suspected it.

Change: a pool remembers since when its instance has refused writes or reported itself as a replica, until it acts as a primary again. A primary that does so for 300 ms, the time after which a silent one is suspected, is suspected too. As for other reasons, most hosts must agree, and the change is given up if the instance reports itself as the primary.

Test: 'replaces a primary of the record that has become a replica' fails on (no write succeeds in 8 s) and passes now, within the 2.5 s of the write gap. packages/direct: 226 passed.

--- a/packages/direct/src/connection/instance-pool.ts
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -93,6 +93,7 @@
 	#disposed = false;
 	#lastActivityAt: number;
 	#unreachableSince: number | undefined;
+	#readOnlySince: number | undefined;
 	/**
 	 * Monotonic time since which the instance has not responded, or `undefined` if no response is outstanding: the time of the
 	 * first statement, granted connection or direct connection attempt, or of a later activity of the instance.
@@ -123,6 +124,11 @@
 		return this.#unreachableSince;
 	}
 
+	/** Monotonic time since which the instance has refused statements because it is not the primary, or `undefined`. */
+	get readOnlySince(): number | undefined {
+		return this.#readOnlySince;
+	}
+
 	/** Whether the pool is closed because the instance is being replaced as the primary. */
 	get closed(): boolean {
 		return this.#closed;
@@ -235,6 +241,11 @@
 		this.#failures.add(failed, this.#timer.now());
 	}
 
+	/** Records whether the instance accepted a statement that only a primary runs. */
+	recordRole(isPrimary: boolean): void {
+		this.#readOnlySince = isPrimary ? undefined : this.#readOnlySince ?? this.#timer.now();
+	}
+
 	/** Releases a connection for the next request, or closes it if it is no longer usable. */
 	release(connection: PooledConnection): void {
 		this.#busy.delete(connection);
@@ -281,13 +292,14 @@
 	}
 
 	/**
-	 * Grants connections again after `close`. Discards the times since which the instance has not responded or has been
-	 * unreachable, which no longer describe it. The response time and the failure rate are kept.
+	 * Grants connections again after `close`. Discards the times since which the instance has not responded, has been
+	 * unreachable or has refused writes, which no longer describe it. The response time and the failure rate are kept.
 	 */
 	reopen(): void {
 		this.#closed = false;
 		this.#unansweredSince = undefined;
 		this.#unreachableSince = undefined;
+		this.#readOnlySince = undefined;
 	}
 
 	/** Opens a connection in advance if the pool has none. */
--- a/packages/direct/src/connection/position-refresher.ts
+++ b/packages/direct/src/connection/position-refresher.ts
@@ -62,6 +62,7 @@
 		const status = await connection.channel.readStatus(sentAt + statusTimeoutMilliseconds);
 		if (status.isOk()) {
 			pool.recordResponse(connection);
+			pool.recordRole(status.value.isPrimary);
 		}
 
 		pool.release(connection);
--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -339,6 +339,10 @@
 
 	#handleSuccess(routed: RoutedStatement, target: Target, connection: PooledConnection, result: StatementResult): AttemptOutcome {
 		const reign = target.reign === undefined ? {} : {reign: target.reign};
+		if (target.reign !== undefined && (routed.begin === 'read-write' || !isSafeToRetry(routed))) {
+			target.pool.recordRole(true);
+		}
+
 		if (target.minimumPosition) {
 			delete target.instanceState.lag;
 		}
@@ -373,6 +377,10 @@
 			return {outcome: {result: failure}};
 		}
 
+		if (code === StatementErrorCode.ReadOnly && target.reign !== undefined) {
+			target.pool.recordRole(false);
+		}
+
 		routed.trace.reason = code;
 		if (action === ErrorAction.RepeatIfHarmless) {
 			return {failure};
--- a/packages/direct/src/process/promotion-coordinator.ts
+++ b/packages/direct/src/process/promotion-coordinator.ts
@@ -327,6 +327,7 @@
 			unknownMilliseconds: Math.round(now - (this.#unknownSince.get(group.name) ?? now)),
 			silenceMilliseconds: Math.round(known?.pool.getUnansweredMilliseconds(now) ?? 0),
 			unreachableMilliseconds: Math.round(now - (known?.pool.unreachableSince ?? now)),
+			readOnlyMilliseconds: Math.round(now - (known?.pool.readOnlySince ?? now)),
 		};
 	}
 
--- a/packages/direct/src/request/suspicion.ts
+++ b/packages/direct/src/request/suspicion.ts
@@ -6,6 +6,8 @@
 	readonly silenceMilliseconds: number;
 	/** Milliseconds since the first of the current series of failed connection attempts; 0 if the last one succeeded. */
 	readonly unreachableMilliseconds: number;
+	/** Milliseconds since the first of the current series of statements that it refused because it is not the primary. */
+	readonly readOnlyMilliseconds: number;
 };
 
 /**
@@ -29,6 +31,9 @@
  */
 const unknownThresholdMilliseconds = 3000;
 
+/** Time for which a primary must refuse writes as a replica before it is suspected, in milliseconds. */
+const readOnlyThresholdMilliseconds = 300;
+
 /**
  * Returns whether a primary appears to have failed.
  *
@@ -38,5 +43,6 @@
 export function isSuspicious(observation: PrimaryObservation, isSuspectedByOthers: boolean): boolean {
 	return observation.unknownMilliseconds >= unknownThresholdMilliseconds
 		|| observation.silenceMilliseconds >= (isSuspectedByOthers ? corroboratedSilenceThresholdMilliseconds : silenceThresholdMilliseconds)
-		|| observation.unreachableMilliseconds >= unreachableThresholdMilliseconds;
+		|| observation.unreachableMilliseconds >= unreachableThresholdMilliseconds
+		|| observation.readOnlyMilliseconds >= readOnlyThresholdMilliseconds;
 }
--- a/packages/direct/tests/fleet/promotion.test.ts
+++ b/packages/direct/tests/fleet/promotion.test.ts
@@ -284,6 +284,24 @@
 		expect(writers.results.filter(({at, result}) => !result.error && at > fleet.timer.now() - 4000).length).toBeGreaterThan(100);
 	});
 
+	// Guards against a group that accepts no write because its record names a replica (review/1).
+	it('replaces a primary of the record that has become a replica', async () => {
+		const fleet = new FakeFleet();
+		await fleet.waitUntilReady();
+		const writers = fleet.startWriters();
+		await fleet.timer.advance(500);
+		fleet.group.promote('orders-1');
+		await advanceUntil(fleet, () => fleet.group.promotions.length === 1);
+		fleet.group.get('orders-0').role = InstanceRole.Replica;
+		const demotedAt = fleet.timer.now();
+		await fleet.timer.advance(8000);
+		writers.stop();
+		await fleet.timer.advance(1500);
+		const next = writers.results.find(({startedAt, result}) => startedAt > demotedAt && !result.error);
+		expect(next!.at - demotedAt).toBeLessThan(writeGapTargetMilliseconds);
+		expect(fleet.getLeader()).toBe('orders-1');
+	});
+
 	// Guards against changes that wait again and again for a host that is permanently gone.
 	it('removes the record of a host that has vanished, and waits for it no more', async () => {
 		const fleet = new FakeFleet();
--- a/packages/direct/tests/request/suspicion.test.ts
+++ b/packages/direct/tests/request/suspicion.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {getConnectionShare, isMajority, isSuspicious} from '../../src/index.js';
 
-const healthy = {unknownMilliseconds: 0, silenceMilliseconds: 0, unreachableMilliseconds: 0};
+const healthy = {unknownMilliseconds: 0, silenceMilliseconds: 0, unreachableMilliseconds: 0, readOnlyMilliseconds: 0};
 
 describe('isSuspicious', () => {
 	// Guards against primaries that are replaced although they are only slow, and against failures that are detected
@@ -13,6 +13,8 @@
 		{name: 'is silent for a short time and suspected by others', observation: {...healthy, silenceMilliseconds: 180}, isSuspectedByOthers: true, expected: true},
 		{name: 'refuses connections', observation: {...healthy, unreachableMilliseconds: 150}, isSuspectedByOthers: false, expected: true},
 		{name: 'has just lost its entry', observation: {...healthy, unknownMilliseconds: 2900}, isSuspectedByOthers: false, expected: false},
+		{name: 'has just refused a write', observation: {...healthy, readOnlyMilliseconds: 290}, isSuspectedByOthers: true, expected: false},
+		{name: 'refuses writes', observation: {...healthy, readOnlyMilliseconds: 300}, isSuspectedByOthers: false, expected: true},
 		{name: 'has no address', observation: {...healthy, unknownMilliseconds: 3000}, isSuspectedByOthers: false, expected: true},
 	])('is $expected for a primary that $name', ({observation, isSuspectedByOthers: isDoubted, expected}) => {
 		expect(isSuspicious(observation, isDoubted)).toBe(expected);
