--- a/packages/direct/src/connection/index.ts
+++ b/packages/direct/src/connection/index.ts
@@ -2,6 +2,7 @@
 export * from './client-connection.js';
 export * from './client-listener.js';
 export * from './client-session.js';
+export * from './guarded-dialer.js';
 export * from './instance-pool.js';
 export * from './pooled-connection.js';
 export * from './relay-channel.js';
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -3,6 +3,7 @@
 import {type TimerService} from '@tarragonstack/core/time/timer-service';
 import {type PeerTransport} from '../connection/datagram-transport.js';
 import {ClientSession} from '../connection/client-session.js';
+import {GuardedDialer} from '../connection/guarded-dialer.js';
 import {type RelayHost, type RelayTarget} from '../connection/relay-server-connection.js';
 import {StatementRunner} from '../connection/statement-runner.js';
 import {type PeerStreamTransport} from '../connection/peer-stream.js';
@@ -20,6 +21,7 @@
 import {AccessMode, FleetAccess} from './fleet-access.js';
 import {FleetView, HostChange} from './fleet-view.js';
 import {parseGroupRecord, type GroupRecord} from './group-record.js';
+import {GuardedStoreListener} from './guarded-store-listener.js';
 import {HostRegistration} from './host-registration.js';
 import {HostMetrics, type GroupSample, type InstanceSample} from './host-metrics.js';
 import {InstanceGroupState} from './instance-group-state.js';
@@ -144,7 +146,7 @@
 				followers: {confirmed: {}, suspected: {}},
 			},
 		});
-		const view = new StoreView(this, era => {
+		const view = new StoreView(new GuardedStoreListener(this, log), era => {
 			this.#era.enter(era, 'items');
 		});
 		this.#follower = new StoreFollower({
@@ -165,9 +167,11 @@
 				this.#follower.restartWatch();
 			},
 		});
+		const dialer = new GuardedDialer(options.dialer, log);
 		this.#coordinator = new PromotionCoordinator({
 			...options,
 			store,
+			dialer,
 			metrics: this.#metrics,
 			suspension: new SuspensionDetector(timer, () => options.readWallClock()),
 			registration: this.#registration,
@@ -222,7 +226,7 @@
 
 		this.#routes = new ConnectionRoutes({hostName, availabilityZone, timer, log, fleet: this.#fleet});
 		this.#instances = new InstanceRegistry({
-			timer, log, metrics: this.#metrics, formats: options.formats, dialer: options.dialer, routes: this.#routes, groups: this.#groups,
+			timer, log, metrics: this.#metrics, formats: options.formats, dialer, routes: this.#routes, groups: this.#groups,
 			getConnectionLimit: group => this.#getConnectionLimit(group),
 		});
 		this.#runner = new StatementRunner({timer, log, availabilityZone, lacksPrimaryAuthority: () => timer.now() > this.#authority.validUntil});
