Answer every statement that a stopping host receives

Cause: stopGracefully only waited. Transactions went on until 0.9 of the grace time, and then all sockets were destroyed with what ran or waited.

After 0.85 of it, a margin of one twentieth before the last tenth that ended the process before, waiting requests are answered as not run and running ones with what is known of them. Connections are ended after what is left to send instead of destroyed. On the related path, a transaction that was idle for too long is reported as ABORTED, not as MALFORMED, which promises nothing.

Why it works: each received statement has an answer before its connection is ended, and no statement is sent to an instance that could outlast the process.

--- a/packages/direct/src/connection/client-connection.ts
+++ b/packages/direct/src/connection/client-connection.ts
@@ -56,6 +56,11 @@
 		});
 	}
 
+	/** Whether a request is being executed. */
+	get isExecuting(): boolean {
+		return this.#isProcessing;
+	}
+
 	/** Whether a request is being executed or a transaction is open. */
 	get isBusy(): boolean {
 		return this.#isProcessing || this.#session?.isInTransaction === true;
@@ -69,6 +74,18 @@
 		}
 	}
 
+	/** Rolls back the open transaction as soon as no statement is running, and refuses further ones. */
+	refuseTransactions(): void {
+		this.#session?.refuseTransactions();
+	}
+
+	/** Sends what is left to send and closes the connection, even if a transaction is open. */
+	end(): void {
+		if (!this.#isEnded) {
+			this.#end();
+		}
+	}
+
 	/** Closes the connection immediately. */
 	destroy(): void {
 		this.#socket.destroy();
--- a/packages/direct/src/connection/client-listener.ts
+++ b/packages/direct/src/connection/client-listener.ts
@@ -39,6 +39,11 @@
 		return [...this.#connections].filter(connection => connection.isBusy).length;
 	}
 
+	/** Number of connections on which a request is being executed. */
+	get executingConnections(): number {
+		return [...this.#connections].filter(connection => connection.isExecuting).length;
+	}
+
 	/**
 	 * Listens on an address.
 	 *
@@ -61,6 +66,20 @@
 		}
 	}
 
+	/** Rolls back each open transaction as soon as none of its statements is running, and refuses further ones. */
+	refuseTransactions(): void {
+		for (const connection of this.#connections) {
+			connection.refuseTransactions();
+		}
+	}
+
+	/** Closes all connections after what is left to send. */
+	endAll(): void {
+		for (const connection of this.#connections) {
+			connection.end();
+		}
+	}
+
 	/** Closes the listener and all connections immediately. */
 	destroy(): void {
 		this.#server.close();
--- a/packages/direct/src/connection/client-session.ts
+++ b/packages/direct/src/connection/client-session.ts
@@ -19,6 +19,8 @@
 /** Delay before a statement of a transaction is retried after the instance was overloaded, in milliseconds. */
 const overloadRetryDelayMilliseconds = 10;
 
+const stoppingReason = 'the host is stopping';
+
 /** Services shared by all sessions of a host. */
 export type SessionServices = {
 	readonly timer: TimerService;
@@ -41,6 +43,8 @@
 	hasWritten: boolean;
 	lastUsedAt: number;
 	failed: boolean;
+	/** Why this host rolled the transaction back, until the client has been told. */
+	unreportedReason?: string;
 };
 
 /** Session of one client: its values, prepared statements, open transaction and position for reading its own writes. */
@@ -67,6 +71,7 @@
 	#lastWriteGroup = '';
 	#disposed = false;
 	#running = false;
+	#refusesTransactions = false;
 	#trace = createStatementTrace();
 
 	/**
@@ -90,7 +95,7 @@
 	 */
 	async execute(statement: Statement): Promise<StatementResult> {
 		if (this.#transaction?.failed && statement.kind !== StatementKind.Commit && statement.kind !== StatementKind.Rollback) {
-			return this.#createMalformedError('the transaction has failed');
+			return this.#refuseInFailedTransaction(this.#transaction);
 		}
 
 		this.#running = true;
@@ -104,17 +109,29 @@
 			this.#running = false;
 			if (this.#disposed) {
 				this.#endTransaction();
+			} else if (this.#refusesTransactions) {
+				this.#abortTransaction(stoppingReason);
 			}
 		}
 	}
 
+	/**
+	 * Rolls back the open transaction as soon as no statement is running, and refuses further transactions, because the host
+	 * stops. The client is told by the answer to its next statement.
+	 */
+	refuseTransactions(): void {
+		this.#refusesTransactions = true;
+		if (!this.#running) {
+			this.#abortTransaction(stoppingReason);
+		}
+	}
+
 	/** Rolls back the open transaction if it has been idle for too long. Called periodically. */
 	rollBackIfIdle(now: number, idleTransactionMilliseconds: number): void {
 		const transaction = this.#transaction;
 		if (transaction?.pinned && !this.#running && now - transaction.lastUsedAt > idleTransactionMilliseconds) {
 			this.#services.log.write('transaction-idle', {group: transaction.route.group, idleMilliseconds: Math.round(now - transaction.lastUsedAt)});
-			this.#rollBackPinned(transaction);
-			transaction.failed = true;
+			this.#abortTransaction('the transaction was idle for too long');
 		}
 	}
 
@@ -183,6 +200,10 @@
 			return this.#createMalformedError('a transaction is already open');
 		}
 
+		if (this.#refusesTransactions) {
+			return createErrorResult(StatementErrorCode.Overloaded, stoppingReason);
+		}
+
 		const route = this.#findRoute();
 		if (!route) {
 			return createErrorResult(StatementErrorCode.UnknownDatabase, this.#database);
@@ -208,7 +229,7 @@
 
 		if (transaction.failed) {
 			this.#endTransaction();
-			return createErrorResult(StatementErrorCode.Aborted, 'the transaction was rolled back');
+			return createErrorResult(StatementErrorCode.Aborted, transaction.unreportedReason ?? 'the transaction was rolled back');
 		}
 
 		const result = transaction.pinned
@@ -387,6 +408,24 @@
 		}
 	}
 
+	/** Rolls back the open transaction without an answer to the client, which is told by the answer to its next statement. */
+	#abortTransaction(reason: string): void {
+		const transaction = this.#transaction;
+		if (transaction && !transaction.failed) {
+			this.#rollBackPinned(transaction);
+			transaction.failed = true;
+			transaction.unreportedReason = reason;
+		}
+	}
+
+	#refuseInFailedTransaction(transaction: Transaction): StatementResult {
+		const reason = transaction.unreportedReason;
+		delete transaction.unreportedReason;
+		return reason === undefined
+			? this.#createMalformedError('the transaction has failed')
+			: createErrorResult(StatementErrorCode.Aborted, reason, this.status);
+	}
+
 	#releasePinned(transaction: Transaction): void {
 		if (transaction.pinned) {
 			transaction.pinned.pool.release(transaction.pinned.connection);
--- a/packages/direct/src/connection/instance-pool.ts
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -345,6 +345,14 @@
 		}
 	}
 
+	/** Closes the pool and all its connections. Requests that wait or run are answered as far as their outcome is known. */
+	abandon(): void {
+		this[Symbol.dispose]();
+		for (const connection of this.#busy.keys()) {
+			connection.channel[Symbol.dispose]();
+		}
+	}
+
 	[Symbol.dispose](): void {
 		this.#disposed = true;
 		this.#rejectWaiting(AcquireFailure.Unavailable);
--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -122,17 +122,19 @@
 	readonly #log: EventLog;
 	readonly #availabilityZone: string;
 	readonly #lacksPrimaryAuthority: () => boolean;
+	readonly #isStopped: () => boolean;
 	readonly #refresher: PositionRefresher;
 
 	/**
-	 * @param options - Services, the availability zone of this host, and a function that returns whether this host may not use
-	 * primaries now.
+	 * @param options - Services, the availability zone of this host, a function that returns whether this host may not use
+	 * primaries now, and one that returns whether it runs no statements any longer.
 	 */
-	constructor(options: {timer: TimerService; log: EventLog; availabilityZone: string; lacksPrimaryAuthority: () => boolean}) {
+	constructor(options: {timer: TimerService; log: EventLog; availabilityZone: string; lacksPrimaryAuthority: () => boolean; isStopped: () => boolean}) {
 		this.#timer = options.timer;
 		this.#log = options.log;
 		this.#availabilityZone = options.availabilityZone;
 		this.#lacksPrimaryAuthority = options.lacksPrimaryAuthority;
+		this.#isStopped = options.isStopped;
 		this.#refresher = new PositionRefresher(options.timer);
 	}
 
@@ -152,7 +154,7 @@
 		const tried = new Set<InstancePool>();
 		const failures: StatementResult[] = [];
 		let reason = 'no instance is available';
-		for (let attempts = 0; attempts < maximumAttempts && this.#timer.now() < request.deadline;) {
+		for (let attempts = 0; attempts < maximumAttempts && this.#mayTry(request);) {
 			const minimumPosition = this.#getRequiredReplicaPosition(routed);
 			if (minimumPosition === PositionMarker.RefreshFirst) {
 				if (this.#lacksPrimaryAuthority()) {
@@ -203,8 +205,18 @@
 			await this.#prepareRetry(routed, target, tried, request);
 		}
 
-		routed.trace.reason ??= reason;
-		return {result: failures.at(-1) ?? createErrorResult(StatementErrorCode.Overloaded, `${reason}; retry after ${retryPauseMilliseconds * 5} ms`)};
+		return {result: failures.at(-1) ?? this.#refuse(routed, reason)};
+	}
+
+	/** Creates the result of a statement that has not run. */
+	#refuse({trace}: RoutedStatement, lastReason: string): StatementResult {
+		const reason = this.#isStopped() ? 'the host is stopping' : lastReason;
+		trace.reason ??= reason;
+		return createErrorResult(StatementErrorCode.Overloaded, `${reason}; retry after ${retryPauseMilliseconds * 5} ms`);
+	}
+
+	#mayTry({deadline}: WaitingRequest): boolean {
+		return this.#timer.now() < deadline && !this.#isStopped();
 	}
 
 	/** Excludes a replica after an attempt, or waits before the primary is tried again. */
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -2,7 +2,7 @@
 import {formatRevision, getEra} from '@tarragonstack/core/adapters/store-revision';
 import {type TimerService} from '@tarragonstack/core/time/timer-service';
 import {type PeerTransport} from '../connection/datagram-transport.js';
-import {ClientSession} from '../connection/client-session.js';
+import {type ClientSession} from '../connection/client-session.js';
 import {GuardedDialer} from '../connection/guarded-dialer.js';
 import {type RelayHost, type RelayTarget} from '../connection/relay-server-connection.js';
 import {StatementRunner} from '../connection/statement-runner.js';
@@ -34,6 +34,7 @@
 import {PromotionCoordinator} from './promotion-coordinator.js';
 import {type PromotionService} from './promotion-service.js';
 import {StoreEra} from './store-era.js';
+import {SessionRegistry} from './session-registry.js';
 import {StoreFollower} from './store-follower.js';
 import {createStoreKeys, getKeyEra} from './store-keys.js';
 import {StoreView, type StoreListener} from './store-view.js';
@@ -103,13 +104,12 @@
 export class DirectHost implements StoreListener, RelayHost, AsyncDisposable {
 	readonly #options: DirectHostOptions;
 	readonly #metrics = new HostMetrics();
-	readonly #successLogSampler = new SuccessLogSampler();
 	readonly #groups = new Map<string, InstanceGroupState>();
 	/** Records of groups that are not configured yet, by key. */
 	readonly #pendingRecords = new Map<string, StoreItem>();
 	/** Groups that had a record in an earlier era of the store. */
 	readonly #formerGroups = new Set<string>();
-	readonly #sessions = new Set<ClientSession>();
+	readonly #sessions: SessionRegistry;
 	readonly #era: StoreEra;
 	readonly #fleet: FleetView;
 	readonly #authority: PrimaryAuthority;
@@ -117,7 +117,6 @@
 	readonly #follower: StoreFollower;
 	readonly #leaseKeeper: LeaseKeeper;
 	readonly #coordinator: PromotionCoordinator;
-	readonly #runner: StatementRunner;
 	readonly #routes: ConnectionRoutes;
 	readonly #instances: InstanceRegistry;
 	readonly #peerAuthorityRenewer: PeerAuthorityRenewer;
@@ -130,6 +129,7 @@
 	#hasChangedEra = false;
 	#periodicChecks: Disposable | undefined;
 	#isLeaving = false;
+	#isStopped = false;
 
 	/**
 	 * @param options - Identity of the host and dependencies.
@@ -229,7 +229,14 @@
 			timer, log, metrics: this.#metrics, formats: options.formats, dialer, routes: this.#routes, groups: this.#groups,
 			getConnectionLimit: group => this.#getConnectionLimit(group),
 		});
-		this.#runner = new StatementRunner({timer, log, availabilityZone, lacksPrimaryAuthority: () => timer.now() > this.#authority.validUntil});
+		this.#sessions = new SessionRegistry({
+			timer, log, metrics: this.#metrics, routineSample: new SuccessLogSampler(),
+			runner: new StatementRunner({
+				timer, log, availabilityZone, lacksPrimaryAuthority: () => timer.now() > this.#authority.validUntil, isStopped: () => this.#isStopped,
+			}),
+			getConfiguration: () => this.#configuration,
+			getGroup: name => this.#groups.get(name),
+		});
 	}
 
 	/** Whether the host accepts new clients. */
@@ -282,24 +289,12 @@
 
 	/** Opens a session for a client, or returns `undefined` if the database has no route. */
 	openSession(database: string): ClientSession | undefined {
-		if (!this.#configuration?.routes.has(database)) {
-			return undefined;
-		}
-
-		const {timer, log} = this.#options;
-		const session = new ClientSession(database, {
-			timer, log, runner: this.#runner, metrics: this.#metrics, routineSample: this.#successLogSampler,
-			getConfiguration: () => this.#configuration,
-			getGroup: name => this.#groups.get(name),
-		});
-		this.#sessions.add(session);
-		return session;
+		return this.#sessions.open(database);
 	}
 
 	/** Closes a session whose client has disconnected. */
 	closeSession(session: ClientSession): void {
-		this.#sessions.delete(session);
-		session[Symbol.dispose]();
+		this.#sessions.close(session);
 	}
 
 	/** Whether the host has received a valid configuration. */
@@ -318,6 +313,16 @@
 		this.#delegateServer.dismissFollowers('the host is leaving');
 	}
 
+	/** Answers all statements at once: those that run with what is known of their outcome, those that wait as not run. */
+	abandonStatements(): void {
+		this.#isStopped = true;
+		for (const {instances} of this.#groups.values()) {
+			for (const {pool} of instances.values()) {
+				pool.abandon();
+			}
+		}
+	}
+
 	/** @inheritdoc */
 	findRelayTarget(instance: string): RelayTarget | undefined {
 		for (const group of this.#groups.values()) {
@@ -390,9 +395,7 @@
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#periodicChecks?.[Symbol.dispose]();
 		this.#access.stop();
-		for (const session of this.#sessions) {
-			session[Symbol.dispose]();
-		}
+		this.#sessions[Symbol.dispose]();
 
 		// A promoter does not wait for a host without a record, nor for its followers.
 		const {timer} = this.#options;
@@ -548,11 +551,6 @@
 			this.#coordinator.evaluate(group);
 		}
 
-		const idleLimit = this.#configuration?.idleTransactionMilliseconds;
-		if (idleLimit !== undefined) {
-			for (const session of this.#sessions) {
-				session.rollBackIfIdle(now, idleLimit);
-			}
-		}
+		this.#sessions.rollBackIdle(now);
 	}
 }
--- a/packages/direct/src/process/graceful-stop.ts
+++ b/packages/direct/src/process/graceful-stop.ts
@@ -7,8 +7,14 @@
 /** Fraction of the grace period after which idle connections are closed even if the host is still in rotation. */
 const rotationWaitFraction = 0.4;
 
-/** Fraction of the grace period after which the process stops even if requests are running. */
-const forcedStopFraction = 0.9;
+/** Fraction of the grace period that an open transaction has to end. */
+const transactionFraction = 0.5;
+
+/** Fraction of the grace period after which statements that still wait or run are answered without their result. */
+const statementFraction = 0.85;
+
+/** Fraction of the grace period after which the process stops even if responses have not been delivered. */
+const forcedStopFraction = 0.95;
 
 /** Interval at which rotation and running requests are checked, in milliseconds. */
 const checkIntervalMilliseconds = 50;
@@ -20,26 +26,34 @@
 	readonly rotation: RotationTracker;
 	readonly timer: TimerService;
 	readonly log: EventLog;
+	/** Answers all statements at once that wait or run. */
+	abandonStatements(): void;
 };
 
 /**
- * Drains the connections of clients, and of hosts that use this one as a gateway, before the process stops.
+ * Drains the connections of clients, and of hosts that use this one as a gateway, before the process stops. Every statement
+ * that was received is answered: transactions that stay open are aborted between two statements after half of the grace
+ * period, and statements that take until its end get what is known of their outcome.
  *
  * @param listener - Connections of clients.
  * @param relays - Connections of other hosts.
  * @param options - Grace period and dependencies.
  */
 export async function stopGracefully(listener: ClientListener, relays: RelayListener, options: GracefulStopOptions): Promise<void> {
-	const {timer, log, rotation, graceMilliseconds} = options;
+	const {timer, log, rotation, graceMilliseconds, abandonStatements} = options;
 	const startedAt = timer.now();
-	const deadline = startedAt + (graceMilliseconds * forcedStopFraction);
+	const isBefore = (fraction: number) => timer.now() < startedAt + (graceMilliseconds * fraction);
 	relays.announceLeaving();
 	// A client that is disconnected while the host is in rotation might reconnect to it.
-	while (!rotation.isOutOfRotation && timer.now() < startedAt + (graceMilliseconds * rotationWaitFraction)) {
+	while (!rotation.isOutOfRotation && isBefore(rotationWaitFraction)) {
 		await timer.sleep(checkIntervalMilliseconds);
 	}
 
-	while (timer.now() < deadline) {
+	while (isBefore(statementFraction)) {
+		if (!isBefore(transactionFraction)) {
+			listener.refuseTransactions();
+		}
+
 		listener.closeIdle();
 		if (listener.busyConnections + relays.busyConnections === 0) {
 			break;
@@ -48,5 +62,18 @@
 		await timer.sleep(checkIntervalMilliseconds);
 	}
 
-	log.write('stopped', {abandonedConnections: listener.busyConnections, abandonedRelays: relays.busyConnections, durationMilliseconds: Math.round(timer.now() - startedAt)});
+	const abandoned = {abandonedConnections: listener.busyConnections, abandonedStatements: listener.executingConnections, abandonedRelays: relays.busyConnections};
+	abandonStatements();
+	while (listener.executingConnections > 0 && isBefore(forcedStopFraction)) {
+		await timer.sleep(1);
+	}
+
+	// A socket that is destroyed may lose responses that the client has not received yet.
+	listener.endAll();
+	while (listener.connectionCount > 0 && isBefore(forcedStopFraction)) {
+		await timer.sleep(checkIntervalMilliseconds);
+		listener.endAll();
+	}
+
+	log.write('stopped', {...abandoned, durationMilliseconds: Math.round(timer.now() - startedAt)});
 }
--- a/packages/direct/tests/fleet/consistency.test.ts
+++ b/packages/direct/tests/fleet/consistency.test.ts
@@ -1,6 +1,6 @@
 import {TransactionStatus} from '@tarragonstack/core/request/transaction-status';
 import {describe, expect, it} from 'vitest';
-import {Consistency, InstanceRole, StatementErrorCode, StatementKind} from '../../src/index.js';
+import {type ClientSession, Consistency, InstanceRole, StatementErrorCode, StatementKind} from '../../src/index.js';
 import {FakeFleet} from './fake-fleet.js';
 
 describe('reads', () => {
@@ -228,3 +228,62 @@
 		expect(fleet.hosts.every(({host}) => host.openSession('later'))).toBe(true);
 	});
 });
+
+describe('transactions that a host ends', () => {
+	/** Ways in which a host ends the transaction of a session, which has read once and rests. */
+	const ends: ReadonlyArray<{readonly name: string; readonly end: (fleet: FakeFleet, session: ClientSession) => Promise<void>}> = [
+		{
+			name: 'because it stops',
+			async end(_fleet, session) {
+				session.refuseTransactions();
+			},
+		},
+		{
+			name: 'because they were idle for too long',
+			async end(fleet) {
+				await fleet.timer.advance(3500);
+			},
+		},
+	];
+
+	// Guards against clients that cannot tell whether anything of their transaction is kept (review/3).
+	it.each(ends)('are reported as aborted by the next statement, $name', async ({end}) => {
+		const fleet = new FakeFleet();
+		await fleet.waitUntilReady();
+		const session = fleet.openSession(0, Consistency.Primary);
+		await fleet.run(session, StatementKind.Begin);
+		await fleet.run(session, StatementKind.Write);
+		await end(fleet, session);
+		const next = await fleet.run(session, StatementKind.Write);
+		expect(next).toMatchObject({error: {code: StatementErrorCode.Aborted}, status: TransactionStatus.Failed});
+		expect((await fleet.run(session, StatementKind.Write)).error?.code).toBe(StatementErrorCode.Malformed);
+		expect(await fleet.run(session, StatementKind.Rollback)).toMatchObject({completion: '-', status: TransactionStatus.Idle});
+		expect(fleet.group.commits).toEqual([]);
+	});
+
+	it.each(ends)('are reported as aborted by their commit, $name', async ({end}) => {
+		const fleet = new FakeFleet();
+		await fleet.waitUntilReady();
+		const session = fleet.openSession(0, Consistency.Primary);
+		await fleet.run(session, StatementKind.Begin);
+		await fleet.run(session, StatementKind.Write);
+		await end(fleet, session);
+		expect(await fleet.run(session, StatementKind.Commit)).toMatchObject({error: {code: StatementErrorCode.Aborted}, status: TransactionStatus.Idle});
+		expect(fleet.group.commits).toEqual([]);
+	});
+
+	it('complete the statement that runs when the host stops', async () => {
+		const fleet = new FakeFleet();
+		await fleet.waitUntilReady();
+		fleet.group.get('orders-0').serviceMilliseconds = 100;
+		const session = fleet.openSession(0, Consistency.Primary);
+		await fleet.run(session, StatementKind.Begin);
+		await fleet.run(session, StatementKind.Write);
+		const committing = session.execute(fleet.createStatement(StatementKind.Commit));
+		await fleet.timer.advance(20);
+		session.refuseTransactions();
+		await fleet.timer.advance(200);
+		expect((await committing).error).toBeUndefined();
+		expect((await fleet.run(session, StatementKind.Begin)).error?.code).toBe(StatementErrorCode.Overloaded);
+	});
+});
--- a/packages/stand-ins/src/platform/platform-instance.ts
+++ b/packages/stand-ins/src/platform/platform-instance.ts
@@ -25,6 +25,8 @@
 	index = 0;
 	/** Whether received lines get no response. */
 	isSilent = false;
+	/** Time from a statement of a client to its response, in milliseconds. Statements that a host issues itself take no time. */
+	serviceMilliseconds = 0;
 	/** Error codes with which the next statements fail, in order. */
 	readonly queuedErrors: string[] = [];
 	readonly #options: PlatformInstanceOptions;
@@ -83,7 +85,16 @@
 			pending = lines.pop() ?? '';
 			for (const line of lines) {
 				const response = this.isSilent ? '' : this.#handleLine(line, session, socket);
-				if (response !== '') {
+				if (response === '') {
+					continue;
+				}
+
+				// A host sends the next statement of a connection only after the response to the previous one.
+				if (this.serviceMilliseconds > 0 && /^QUERY (?!- )/v.test(line)) {
+					setTimeout(() => {
+						socket.write(response, 'latin1');
+					}, this.serviceMilliseconds);
+				} else {
 					socket.write(response, 'latin1');
 				}
 			}
