Give each prepared shape a name of one word

Cause: on pooled connections the name of a prepared statement was its kind and its shape. A shape may contain blanks and a name is one word, so the instance took the rest of the name for kind and shape, which replaced what the name stood for.

Why it works: the name is one word for every shape, and two definitions have the same name only if they are equal. It still depends on the definition alone, on which gateways and hosts rely.

--- a/packages/direct/src/connection/pooled-connection.ts
+++ b/packages/direct/src/connection/pooled-connection.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {type PreparedDefinition} from '../request/statement.js';
 import {SessionCommand, type UpstreamChannel, type UpstreamStatement} from './upstream-channel.js';
 
@@ -76,12 +77,18 @@
 	}
 }
 
+/** Shapes that are part of the name themselves. A name is one word, so it contains neither blanks nor control characters. */
+const wordShape = /^\w{1,32}$/v;
+
 /**
  * Returns the name of a prepared statement on pooled connections. It depends on the definition alone: clients share
- * equal definitions, and the names that they choose cannot collide.
+ * equal definitions, and the names that they choose cannot collide. The digest of a shape that is not a short word has a
+ * prefix of its own, so that no word equals it.
  *
  * @param definition - Definition of the prepared statement.
  */
-export function getPreparedName(definition: PreparedDefinition): string {
-	return `${definition.writes ? 'w' : 'r'}${definition.shape}`;
+export function getPreparedName({writes, shape}: PreparedDefinition): string {
+	return wordShape.test(shape)
+		? `${writes ? 'w' : 'r'}${shape}`
+		: `${writes ? 'W' : 'R'}${createHash('sha256').update(shape).digest('base64url')}`;
 }
