Ask the only gateway again soon after it has refused

Callers of a host whose only gateway had not listed an instance yet got BUSY for up to a second.

Cause, from the logs of a failed run: the gateway refused 20 ms before it listed the instances, and was then avoided for 1 s although there was no other one.

One that did not respond is still avoided for 1 s.

--- a/packages/direct/src/connection/relay-dialer.ts
+++ b/packages/direct/src/connection/relay-dialer.ts
@@ -13,6 +13,19 @@
 /** Time for which a failed gateway is not chosen, in milliseconds. A restart of its process takes about as long. */
 const avoidanceMilliseconds = 1000;
 
+/**
+ * Time after which a gateway that refused is asked again if no other one is left, in milliseconds. It may have learned of the
+ * instance since.
+ */
+const refusalMilliseconds = 100;
+
+type Avoidance = {
+	/** Monotonic time until which other gateways are preferred. */
+	readonly until: number;
+	/** Monotonic time until which the gateway is not chosen even if there is no other one. */
+	readonly excludedUntil: number;
+};
+
 /** Gateway candidate with its address. */
 export type Gateway = GatewayCandidate & {
 	/** Address of its peer listener, in the form `host:port`. */
@@ -32,8 +45,8 @@
 /** Opens connections to instances through gateways. */
 export class RelayDialer implements UpstreamDialer {
 	readonly #options: RelayDialerOptions;
-	/** Monotonic times until which failed gateways are not chosen, by name. */
-	readonly #avoidedUntil = new Map<string, number>();
+	/** Gateways that failed, by name. */
+	readonly #avoidances = new Map<string, Avoidance>();
 
 	/**
 	 * @param options - Services.
@@ -46,9 +59,10 @@
 	async dial(instance: InstanceEntry): Promise<Result<UpstreamChannel, ChannelError>> {
 		const {timer, hostName, availabilityZone, getGateways} = this.#options;
 		const now = timer.now();
-		const gateway = chooseGateway(getGateways(instance.id), {
-			hostName, availabilityZone, instance: instance.id, isAvoided: name => now < (this.#avoidedUntil.get(name) ?? 0),
-		});
+		const gateways = getGateways(instance.id);
+		const query = {hostName, availabilityZone, instance: instance.id};
+		const gateway = chooseGateway(gateways, {...query, isAvoided: name => now < (this.#avoidances.get(name)?.until ?? 0)})
+			?? chooseGateway(gateways, {...query, isAvoided: name => now < (this.#avoidances.get(name)?.excludedUntil ?? 0)});
 		if (!gateway) {
 			return err({failure: ChannelFailure.NotRelayed, message: 'no gateway is available'});
 		}
@@ -57,20 +71,24 @@
 		const socket = connect({host: gateway.address.slice(0, separator), port: Number(gateway.address.slice(separator + 1))});
 		const channel = new RelayChannel(socket, timer);
 		channel.onTimeout = () => {
-			this.#avoid(gateway.name, instance.id, 'no response in time');
+			this.#avoid(gateway.name, instance.id, {reason: 'no response in time', exclusionMilliseconds: avoidanceMilliseconds});
 		};
 
 		const outcome = await channel.open(instance.id, now + openTimeoutMilliseconds);
 		if (outcome.isErr()) {
-			this.#avoid(gateway.name, instance.id, outcome.error.message);
+			const {failure, message} = outcome.error;
+			this.#avoid(gateway.name, instance.id, {
+				reason: message, exclusionMilliseconds: failure === ChannelFailure.NotRelayed ? refusalMilliseconds : avoidanceMilliseconds,
+			});
 			return err(outcome.error);
 		}
 
 		return ok(channel);
 	}
 
-	#avoid(gateway: string, instance: string, reason: string): void {
-		this.#avoidedUntil.set(gateway, this.#options.timer.now() + avoidanceMilliseconds);
+	#avoid(gateway: string, instance: string, {reason, exclusionMilliseconds}: {reason: string; exclusionMilliseconds: number}): void {
+		const now = this.#options.timer.now();
+		this.#avoidances.set(gateway, {until: now + avoidanceMilliseconds, excludedUntil: now + exclusionMilliseconds});
 		this.#options.log.write('gateway-avoided', {gateway, instance, reason});
 	}
 }
--- a/packages/direct/tests/connection/relay.test.ts
+++ b/packages/direct/tests/connection/relay.test.ts
@@ -265,6 +265,17 @@
 		// The gateway is avoided for a while, so the second attempt finds none.
 		await expect(open()).rejects.toThrow();
 	});
+
+	// Guards against a host that refuses statements for a second because its only gateway has not listed an instance yet.
+	it('asks the only gateway again shortly after it has refused', async () => {
+		const {open, state} = await startGateway();
+		Object.assign(state, {hasPool: false});
+		await expect(open()).rejects.toThrow();
+		Object.assign(state, {hasPool: true});
+		await timer.sleep(150);
+		using channel = await open();
+		expect((await run(channel, [createStatement(StatementKind.Read, 'r1')])).isOk()).toBe(true);
+	});
 });
 
 async function sendRaw(port: number, bytes: Buffer, pieces: number): Promise<Socket> {
