Promote no instance that is about to stop

Callers' requests reached an instance 7.3 s after it had begun to leave, which stops after 7 s (rule DRAIN).

Change: an instance that has been leaving for 4.5 s is not eligible. This is the time after which a primary without an entry is replaced, and leaves 2.5 s for the promotion and for the next change.

Tests: 'promotes no instance that has been leaving for so long that it is about to stop' fails on the code before (ordered) and passes now; three cases of candidate-choice.test.ts. packages/direct: 249 passed.

--- a/packages/direct/src/process/instance-group-state.ts
+++ b/packages/direct/src/process/instance-group-state.ts
@@ -25,6 +25,8 @@
 	pool: InstancePool;
 	/** Monotonic time since which the instance has had no entry in the store, or `undefined` if it has one. */
 	entryMissingSince?: number;
+	/** Monotonic time since which the instance has reported that it is about to stop, or `undefined`. */
+	leavingSince?: number;
 	/** Lag with which the instance last refused a read, or `undefined` if it has served reads since. */
 	lag?: ReplicaLag;
 };
--- a/packages/direct/src/process/instance-registry.ts
+++ b/packages/direct/src/process/instance-registry.ts
@@ -7,7 +7,7 @@
 import {type EventLog} from './event-log.js';
 import {type HostMetrics} from './host-metrics.js';
 import {type InstanceEntry} from './instance-entry.js';
-import {missingEntryMilliseconds, type InstanceGroupState} from './instance-group-state.js';
+import {missingEntryMilliseconds, type InstanceGroupState, type KnownInstance} from './instance-group-state.js';
 import {InstanceReportFilter} from './instance-report-filter.js';
 import {type PlatformFormats} from './platform-formats.js';
 
@@ -114,6 +114,14 @@
 		}
 	}
 
+	#recordLeaving(known: KnownInstance): void {
+		if (known.pool.instance.leaving) {
+			known.leavingSince ??= this.#options.timer.now();
+		} else {
+			delete known.leavingSince;
+		}
+	}
+
 	#add(entry: InstanceEntry): void {
 		const {dialer, timer, log, metrics, routes, groups, getConnectionLimit} = this.#options;
 		const group = groups.get(entry.group);
@@ -128,10 +136,12 @@
 		} else {
 			known?.pool[Symbol.dispose]();
 			const pool = new InstancePool(entry, dialer, {timer, log, metrics, route: routes.getRoute(entry.id, getConnectionLimit(entry.group))});
-			group.instances.set(entry.id, {pool});
+			group.instances.set(entry.id, {pool, ...(entry.leaving && known?.leavingSince !== undefined && {leavingSince: known.leavingSince})});
 			pool.warmUp();
 		}
 
+		this.#recordLeaving(group.instances.get(entry.id)!);
+
 		log.write('instance-listed', {
 			instance: entry.id, group: entry.group, zone: entry.availabilityZone, role: entry.role, leaving: entry.leaving, startedAt: entry.startedAt,
 		});
--- a/packages/direct/src/process/primary-change.ts
+++ b/packages/direct/src/process/primary-change.ts
@@ -226,8 +226,10 @@
 	): Promise<{choice: CandidateChoice | undefined; reports: CandidateReport[]}> {
 		const {timer, dialer} = this.#context;
 		const others = [...this.#group.instances.values()].filter(({pool}) => pool.instance.id !== primary);
-		const answers = await Promise.all(others.map(async ({pool: {instance}}) => ({instance, status: await readInstanceStatus(instance, dialer, timer)})));
-		const reports = answers.flatMap(({instance: {id, leaving}, status}) => status ? [{id, isLeaving: leaving, ...status}] : []);
+		const answers = await Promise.all(others.map(async known => ({known, status: await readInstanceStatus(known.pool.instance, dialer, timer)})));
+		const reports = answers.flatMap(({known: {pool, leavingSince}, status}): CandidateReport[] => status
+			? [{id: pool.instance.id, ...(leavingSince !== undefined && {leavingMilliseconds: Math.round(timer.now() - leavingSince)}), ...status}]
+			: []);
 		const choice = chooseCandidate(reports, {
 			term,
 			// The store may have lost an order that followed the one in the record.
--- a/packages/direct/src/request/candidate-choice.ts
+++ b/packages/direct/src/request/candidate-choice.ts
@@ -1,10 +1,16 @@
 import {compareLogPositions, type LogPosition} from '@tarragonstack/core/request/log-position';
 
+/**
+ * Time for which an instance may have been about to stop when it is promoted, in milliseconds. An instance must receive no
+ * statements 7 s after it began to leave. Its promotion, and its own replacement afterwards, take up to 2.5 s.
+ */
+const maximumLeavingMilliseconds = 4500;
+
 /** Report of an instance that may be promoted. */
 export type CandidateReport = {
 	readonly id: string;
-	/** Whether the instance is about to stop. */
-	readonly isLeaving: boolean;
+	/** Time for which the instance has been about to stop, in milliseconds; `undefined` if it is not. */
+	readonly leavingMilliseconds?: number;
 	readonly isPrimary: boolean;
 	readonly term: number;
 	/** Last log position that the instance has received. */
@@ -44,31 +50,34 @@
  *
  * While an earlier order may take effect, only the instance of that order is eligible: if hosts used another one, the order
  * would replace it behind their backs. Otherwise, the instance that leads the latest term is preferred, then the one with the
- * highest log position. Instances that are not about to stop go first.
+ * highest log position. Instances that are not about to stop go first; those that stop too soon to be replaced in time are
+ * not eligible.
  *
- * @param reports - Reports of the instances that responded.
+ * @param allReports - Reports of the instances that responded.
  * @param situation - State of the change.
  * @returns The choice, or `undefined` if no instance is eligible at present.
  */
-export function chooseCandidate(reports: readonly CandidateReport[], situation: CandidateSituation): CandidateChoice | undefined {
+export function chooseCandidate(allReports: readonly CandidateReport[], situation: CandidateSituation): CandidateChoice | undefined {
 	const {ordered, isOrderPending, isUnknownOrderPending, quorum} = situation;
 	if (isUnknownOrderPending) {
 		return undefined;
 	}
 
+	const reports = allReports.filter(({leavingMilliseconds = 0}) => leavingMilliseconds <= maximumLeavingMilliseconds);
+
 	if (isOrderPending) {
 		const report = reports.find(({id}) => id === ordered);
-		return report && createChoice(report, reports, situation);
+		return report && createChoice(report, allReports, situation);
 	}
 
-	if (reports.length < quorum) {
+	if (allReports.length < quorum) {
 		return undefined;
 	}
 
-	const [best] = reports.toSorted((left, right) => Number(left.isLeaving) - Number(right.isLeaving)
+	const [best] = reports.toSorted((left, right) => Number(left.leavingMilliseconds !== undefined) - Number(right.leavingMilliseconds !== undefined)
 		|| getLedTerm(right, situation) - getLedTerm(left, situation)
 		|| compareLogPositions(right.received, left.received));
-	return best && createChoice(best, reports, situation);
+	return best && createChoice(best, allReports, situation);
 }
 
 function createChoice(report: CandidateReport, reports: readonly CandidateReport[], situation: CandidateSituation): CandidateChoice {
--- a/packages/direct/tests/fleet/promotion.test.ts
+++ b/packages/direct/tests/fleet/promotion.test.ts
@@ -302,6 +302,26 @@
 		expect(fleet.getLeader()).toBe('orders-1');
 	});
 
+	// Guards against statements that reach an instance long after it began to leave, because it was promoted as the last one left.
+	it('promotes no instance that has been leaving for so long that it is about to stop', async () => {
+		const fleet = new FakeFleet();
+		await fleet.waitUntilReady();
+		const writers = fleet.startWriters();
+		await fleet.timer.advance(500);
+		fleet.group.get('orders-2').isDown = true;
+		fleet.putInstance({...fleet.group.get('orders-1').entry, leaving: true});
+		await fleet.timer.advance(4600);
+		fleet.group.get('orders-0').isDown = true;
+		await fleet.timer.advance(4000);
+		expect(fleet.promotions).toEqual([]);
+		fleet.group.get('orders-2').isDown = false;
+		await fleet.timer.advance(4000);
+		writers.stop();
+		await fleet.timer.advance(1500);
+		expect(fleet.getLeader()).toBe('orders-2');
+		expect(fleet.promotions.map(({instance}) => instance)).not.toContain('orders-1');
+	});
+
 	// Guards against changes that wait again and again for a host that is permanently gone.
 	it('removes the record of a host that has vanished, and waits for it no more', async () => {
 		const fleet = new FakeFleet();
--- a/packages/direct/tests/request/candidate-choice.test.ts
+++ b/packages/direct/tests/request/candidate-choice.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {type CandidateReport, type CandidateSituation, chooseCandidate} from '../../src/index.js';
 
-const first: CandidateReport = {id: 'first', isLeaving: false, isPrimary: false, term: 1, received: {term: 1, index: 10}};
+const first: CandidateReport = {id: 'first', isPrimary: false, term: 1, received: {term: 1, index: 10}};
 const second: CandidateReport = {...first, id: 'second'};
 const advanced: CandidateReport = {...second, received: {term: 1, index: 11}};
 const leading: CandidateReport = {...first, isPrimary: true, term: 2};
@@ -12,7 +12,10 @@
 describe('chooseCandidate', () => {
 	it.each<{name: string; reports: CandidateReport[]; situation: CandidateSituation; expected: ReturnType<typeof chooseCandidate>}>([
 		{name: 'the most advanced instance', reports: [first, advanced], situation: calm, expected: {id: 'second'}},
-		{name: 'one that stays rather than the most advanced one', reports: [first, {...advanced, isLeaving: true}], situation: calm, expected: {id: 'first'}},
+		{name: 'one that leaves if no other responds', reports: [{...first, leavingMilliseconds: 4500}], situation: calm, expected: {id: 'first'}},
+		{name: 'none that has been leaving for too long', reports: [{...first, leavingMilliseconds: 4501}], situation: calm, expected: undefined},
+		{name: 'none that has been leaving for too long, although it was ordered', reports: [{...leading, leavingMilliseconds: 4501}, advanced], situation: pending, expected: undefined},
+		{name: 'one that stays rather than the most advanced one', reports: [first, {...advanced, leavingMilliseconds: 100}], situation: calm, expected: {id: 'first'}},
 		{name: 'none without a quorum', reports: [first], situation: {...calm, quorum: 2}, expected: undefined},
 		{name: 'none without reports', reports: [], situation: calm, expected: undefined},
 		{name: 'the ordered one while its promotion may take effect', reports: [first, advanced], situation: pending, expected: {id: 'first'}},
