Keep what is known of lost orders after a refused promotion

A change whose candidate had just stopped returned to its announcement without mayBePromoting, which tells that the restored store may have lost an order. Such a change could have been given up although an instance had been promoted. Both announcements are now made by one function.

Test: 'promotes another instance at once if the chosen one has just stopped' covers the refusal, within 1.5 s; it passes on the code before as well. No test covers the flag after a restoration. packages/direct: 250 passed.

--- a/packages/direct/src/process/primary-change.ts
+++ b/packages/direct/src/process/primary-change.ts
@@ -47,6 +47,9 @@
 	readonly fromTerm: number | undefined;
 };
 
+/** Fields of a group's record that an attempt changes. */
+type ChangeFields = Pick<GroupRecord, 'phase' | 'primary' | 'candidate' | 'candidateTerm' | 'term' | 'mayBePromoting'>;
+
 /** Monotonic times after which promotions that were ordered before this attempt no longer take effect. */
 type EarlierOrders = {
 	/** End for the candidate of the record. */
@@ -90,10 +93,8 @@
 	 */
 	async run(base: VersionedGroupRecord): Promise<void> {
 		const {log} = this.#context;
-		const {primary, term, candidate, candidateTerm, mayBePromoting} = base;
-		const announced = await this.#commitRecord(base, {
-			phase: GroupPhase.Announced, primary, term, ...(candidate && {candidate}), ...(candidateTerm && {candidateTerm}), ...(mayBePromoting && {mayBePromoting}),
-		});
+		const {primary, term, candidate, mayBePromoting} = base;
+		const announced = await this.#commitRecord(base, createAnnouncement(base));
 		if (!announced) {
 			return;
 		}
@@ -179,10 +180,7 @@
 		log.write('promotion-ordered', {group: this.#group.name, instance, fencingToken, fromTerm, outcome: answer.isOk() ? answer.value : answer.error});
 		if (answer.isOk() && answer.value === PromotionAnswer.InstanceNotRunning && announced.candidate !== instance) {
 			// The next attempt need not wait for the effect of an order that was refused.
-			const {candidate, candidateTerm} = announced;
-			await this.#commitRecord(ordered, {
-				phase: GroupPhase.Announced, primary, term, ...(candidate && {candidate}), ...(candidateTerm && {candidateTerm}),
-			});
+			await this.#commitRecord(ordered, createAnnouncement(announced));
 		}
 
 		return answer;
@@ -289,7 +287,7 @@
 
 	async #commitRecord(
 		from: VersionedGroupRecord,
-		change: Pick<GroupRecord, 'phase' | 'primary' | 'candidate' | 'candidateTerm' | 'term' | 'mayBePromoting'>,
+		change: ChangeFields,
 	): Promise<VersionedGroupRecord | undefined> {
 		return commitGroupRecord(this.#context, this.#group, from.revision, {
 			...change, promoter: this.#promoterRecord.host, fencingToken: this.#promoterRecord.fencingToken,
@@ -298,6 +296,13 @@
 	}
 }
 
+/** Creates the announcement of a change that keeps what is known of the promotions ordered so far. */
+function createAnnouncement({primary, term, candidate, candidateTerm, mayBePromoting}: GroupRecord): ChangeFields {
+	return {
+		phase: GroupPhase.Announced, primary, term, ...(candidate && {candidate}), ...(candidateTerm !== undefined && {candidateTerm}), ...(mayBePromoting && {mayBePromoting}),
+	};
+}
+
 /** Returns whether an instance leads a term later than the given one. */
 function leadsAfter({isPrimary, term}: InstanceStatus, earlierTerm: number): boolean {
 	return isPrimary && term > earlierTerm;
--- a/packages/direct/tests/fleet/promotion.test.ts
+++ b/packages/direct/tests/fleet/promotion.test.ts
@@ -322,6 +322,27 @@
 		expect(fleet.promotions.map(({instance}) => instance)).not.toContain('orders-1');
 	});
 
+	// Guards against a wait for a promotion that the platform refused, and against a change that it leaves undone.
+	it('promotes another instance at once if the chosen one has just stopped', async () => {
+		const fleet = new FakeFleet();
+		await fleet.waitUntilReady();
+		const writers = fleet.startWriters();
+		await fleet.timer.advance(500);
+		fleet.group.get('orders-0').isDown = true;
+		await advanceUntil(fleet, () => fleet.getEvents('candidate-chosen').length === 1);
+		const stopped = String(fleet.getEvents('candidate-chosen')[0]!.fields.instance);
+		fleet.group.get(stopped).isDown = true;
+		const stoppedAt = fleet.timer.now();
+		await advanceUntil(fleet, () => fleet.promotions.length === 2);
+		expect(fleet.timer.now() - stoppedAt).toBeLessThan(1500);
+		await fleet.timer.advance(3000);
+		writers.stop();
+		await fleet.timer.advance(1500);
+		expect(fleet.promotions[0]!.instance).toBe(stopped);
+		expect(fleet.getLeader()).not.toBe(stopped);
+		expect(fleet.getLateCommits(writers.results)).toEqual([]);
+	});
+
 	// Guards against changes that wait again and again for a host that is permanently gone.
 	it('removes the record of a host that has vanished, and waits for it no more', async () => {
 		const fleet = new FakeFleet();
