--- a/packages/direct/src/process/lease-keeper.ts
+++ b/packages/direct/src/process/lease-keeper.ts
@@ -142,8 +142,8 @@
 
 	/** Renews a lease until it has ended, or the host is no longer registered. */
 	async #renew(lease: number, signal: AbortSignal): Promise<void> {
-		const {store, timer, registration, authority, handleStoreRegained} = this.#options;
-		let hasFailed = false;
+		const {store, timer, log, registration, authority, handleStoreRegained} = this.#options;
+		let failures = 0;
 		while (!signal.aborted) {
 			this.#sleepAbort = new AbortController();
 			const requestedAt = timer.now();
@@ -154,12 +154,18 @@
 
 			if (outcome.isOk()) {
 				authority.handleLeaseRenewed(requestedAt);
-				if (hasFailed) {
+				if (failures > 0) {
+					log.write('lease-renewal-regained', {lease, failures});
 					handleStoreRegained();
 				}
-			}
 
-			hasFailed = outcome.isErr();
+				failures = 0;
+			} else {
+				failures++;
+				if (failures === 1) {
+					log.write('lease-renewal-failed', {lease, reason: outcome.error.message});
+				}
+			}
 
 			await timer.sleep(outcome.isOk() ? renewalIntervalMilliseconds : retryDelayMilliseconds, this.#sleepAbort.signal);
 		}
