--- a/packages/stand-ins/src/relay/relay.ts
+++ b/packages/stand-ins/src/relay/relay.ts
@@ -75,7 +75,12 @@
 			'POST /sources': () => this.#addSource(body),
 			'POST /rules': () => this.#addRules(body),
 			'DELETE /rules': () => this.#removeRules([...this.#rules.keys()]),
-			'POST /reset': () => this.#resetConnections(body),
+			'POST /reset': () => ({reset: this.#endConnections(body, connection => {
+				connection.reset();
+			})}),
+			'POST /silence': () => ({silenced: this.#endConnections(body, connection => {
+				connection.silence();
+			})}),
 			'GET /status': () => this.#getStatus(),
 			'GET /traffic': () => ({flows: [...this.#traffic.values()]}),
 		};
@@ -156,19 +161,16 @@
 		return {removed};
 	}
 
-	/** Resets all connections from the source to the destination. */
-	#resetConnections(body: Json): Json {
+	/** Resets or silences all connections from the source to the destination and returns their number. */
+	#endConnections(body: Json, end: (connection: RelayedConnection) => void): number {
 		const source = parseSelector(body.source);
 		const destination = parseSelector(body.destination);
-		let count = 0;
-		for (const connection of this.#connections) {
-			if (matchesEndpoint(source, connection.source) && matchesEndpoint(destination, connection.destination)) {
-				connection.reset();
-				count++;
-			}
+		const selected = [...this.#connections].filter(connection => matchesEndpoint(source, connection.source) && matchesEndpoint(destination, connection.destination));
+		for (const connection of selected) {
+			end(connection);
 		}
 
-		return {reset: count};
+		return selected.length;
 	}
 
 	#applyRules(): void {
--- a/packages/stand-ins/src/relay/relayed-connection.ts
+++ b/packages/stand-ins/src/relay/relayed-connection.ts
@@ -25,6 +25,7 @@
 	#requestForwarder: StreamForwarder | undefined;
 	#responseForwarder: StreamForwarder | undefined;
 	#isClosed = false;
+	#isSilent = false;
 
 	/** @param options - Accepted socket, endpoints and callbacks. */
 	constructor(options: RelayedConnectionOptions) {
@@ -66,11 +67,19 @@
 
 	/** Resets the incoming and the outgoing connection. */
 	reset(): void {
+		this.#isSilent = false;
 		this.#options.client.resetAndDestroy();
 		this.#server?.resetAndDestroy();
 		this.#close();
 	}
 
+	/** Passes nothing on any more, not even the end of a side, and leaves both sides open. */
+	silence(): void {
+		this.#isSilent = true;
+		this.#requestForwarder?.close();
+		this.#responseForwarder?.close();
+	}
+
 	#open(requestRule: EffectiveRule, responseRule: EffectiveRule): void {
 		const {client, target, localAddress, source, destination, onBytes} = this.#options;
 		const [host, port] = target.split(':');
@@ -100,7 +109,7 @@
 	}
 
 	#close(): void {
-		if (this.#isClosed) {
+		if (this.#isClosed || this.#isSilent) {
 			return;
 		}
 
--- a/packages/stand-ins/src/relay/stream-forwarder.ts
+++ b/packages/stand-ins/src/relay/stream-forwarder.ts
@@ -28,6 +28,7 @@
 	#timer: NodeJS.Timeout | undefined;
 	#rule: EffectiveRule;
 	#bytesUntilReset: number;
+	#isClosed = false;
 
 	/**
 	 * @param from - Socket to read from.
@@ -68,13 +69,18 @@
 		this.#drainQueue();
 	}
 
-	/** Discards all queued bytes. */
+	/** Discards all queued bytes and forwards nothing from now on. */
 	close(): void {
+		this.#isClosed = true;
 		clearTimeout(this.#timer);
 		this.#queue.length = 0;
 	}
 
 	#forward(chunk: Buffer | undefined): void {
+		if (this.#isClosed) {
+			return;
+		}
+
 		if (this.#queue.length === 0 && this.#rule.delayMilliseconds === 0 && !this.#rule.isPartition) {
 			this.#write(chunk);
 			if (this.#to.writableNeedDrain) {
--- a/packages/stand-ins/tests/relay/relay.test.ts
+++ b/packages/stand-ins/tests/relay/relay.test.ts
@@ -170,7 +170,7 @@
 	});
 });
 
-describe('reset', () => {
+describe('reset and silence', () => {
 	it('resets connections immediately', async () => {
 		const {call, open} = await startRelay();
 		const socket = await open();
@@ -182,6 +182,22 @@
 		expect(await closed).toBe(true);
 	});
 
+	it('silences open connections for good without closing them, and serves new ones', async () => {
+		const {call, open} = await startRelay();
+		const silent = await open();
+		const received = receive(silent, 1);
+		silent.write('x');
+		await received;
+		expect(await call('POST', '/silence', {source: {name: 'client'}})).toEqual({silenced: 1});
+		silent.write('y');
+		expect(await collectBriefly(silent)).toBe('');
+		expect(silent.readyState).toBe('open');
+		const fresh = await open();
+		const answered = receive(fresh, 1);
+		fresh.write('z');
+		expect(await answered).toBe('z');
+	});
+
 	it('resets a connection after a number of response bytes, so that the client has part of a response', async () => {
 		const {call, open} = await startRelay();
 		const socket = await open();
