--- a/packages/direct/src/request/index.ts
+++ b/packages/direct/src/request/index.ts
@@ -23,3 +23,4 @@
 export * from './delegate-plan.js';
 export * from './rendezvous-weights.js';
 export * from './growing-delay.js';
+export * from './unproven-connections.js';
