Close idle connections to an instance after a statement without a response

Callers saw, after the connections to the instances had gone silent, two writes in a row in doubt, and reads of a read-your-writes route that failed for 3.1 to 4.2 s although a new connection to the instance had worked after 0.2 s. Each statement takes another silent connection from the pool and waits for its time limit. Change: when a connection closes while a statement on it waits for its response, InstancePool closes the idle connections on which the instance has not responded since that statement was sent. Why it works: one time limit is spent for all connections of the pool together; the next statement opens a new one.

--- a/packages/direct/src/connection/instance-pool.ts
+++ b/packages/direct/src/connection/instance-pool.ts
@@ -4,6 +4,7 @@
 import {type InstanceEntry} from '../process/instance-entry.js';
 import {CongestionWindow} from '../request/congestion-window.js';
 import {FailureRate} from '../request/failure-rate.js';
+import {findUnprovenConnections} from '../request/unproven-connections.js';
 import {compareWaiting, type WaitingRequest} from '../request/waiting-request.js';
 import {PooledConnection, type SessionContext} from './pooled-connection.js';
 import {ChannelFailure, type ChannelError, type UpstreamDialer} from './upstream-channel.js';
@@ -248,7 +249,12 @@
 
 	/** Releases a connection for the next request, or closes it if it is no longer usable. */
 	release(connection: PooledConnection): void {
+		const unansweredSentAt = this.#busy.get(connection) ?? 0;
 		this.#busy.delete(connection);
+		if (connection.channel.closed && unansweredSentAt > 0) {
+			this.#close(findUnprovenConnections(this.#idle, unansweredSentAt));
+		}
+
 		if (connection.channel.closed || this.#disposed || this.#closed || connection.usesGateway !== this.usesGateway
 			|| this.#idle.length + this.#busy.size >= this.#route.maximumConnections) {
 			connection.channel[Symbol.dispose]();
@@ -360,8 +366,12 @@
 	}
 
 	#closeIdle(): void {
-		for (const connection of this.#idle.splice(0)) {
-			connection.channel[Symbol.dispose]();
+		this.#close(this.#idle.splice(0));
+	}
+
+	#close(connections: readonly PooledConnection[]): void {
+		for (const {channel} of connections) {
+			channel[Symbol.dispose]();
 		}
 	}
 
--- a/packages/direct/src/connection/pooled-connection.ts
+++ b/packages/direct/src/connection/pooled-connection.ts
@@ -28,6 +28,11 @@
 		this.usesGateway = usesGateway;
 	}
 
+	/** Monotonic time of the last response of the instance, in milliseconds. */
+	get lastReceivedAt(): number {
+		return this.channel.lastReceivedAt;
+	}
+
 	/** Returns whether the connection has exactly the value names of a session. */
 	matchesSession(context: SessionContext): boolean {
 		return this.#values.size === context.values.size && this.#hasOnlyValuesOf(context);
--- a/packages/direct/tests/fleet/fake-group.ts
+++ b/packages/direct/tests/fleet/fake-group.ts
@@ -37,6 +37,8 @@
 	isDown = false;
 	/** Names of hosts that cannot reach the instance. */
 	readonly unreachableFrom = new Set<string>();
+	/** Monotonic time before which connections were opened that have gone silent: they are not closed, but get no response. */
+	silentBefore = Number.NEGATIVE_INFINITY;
 	/** Whether commits of the primary are replicated to the instance. */
 	receivesCommits = true;
 	/** Number of batches whose responses are lost after their statements have run. */
@@ -144,6 +146,7 @@
 	onClose: (() => void) | undefined;
 	closed = false;
 	lastReceivedAt: number;
+	readonly #openedAt: number;
 	readonly #instance: FakeInstance;
 	readonly #group: FakeGroup;
 	readonly #host: string;
@@ -158,7 +161,8 @@
 		this.#group = group;
 		this.#host = host;
 		this.#timer = timer;
-		this.lastReceivedAt = timer.now();
+		this.#openedAt = timer.now();
+		this.lastReceivedAt = this.#openedAt;
 		instance.connections++;
 	}
 
@@ -213,11 +217,12 @@
 		if (!this.closed) {
 			this.closed = true;
 			this.#instance.connections--;
+			this.onClose?.();
 		}
 	}
 
 	#isUnreachable(): boolean {
-		return this.#instance.isDown || this.#instance.unreachableFrom.has(this.#host);
+		return this.#instance.isDown || this.#instance.unreachableFrom.has(this.#host) || this.#openedAt < this.#instance.silentBefore;
 	}
 
 	async #failAtDeadline(deadline: number): Promise<Result<never, ChannelError>> {
