Discard the primary's log positions after a suspension

Readers could get rows that lack commits of the time for which a host was suspended (STALE; found by reading in the review). Cause: the monotonic clock stands still during a suspension, so the positions that the host knew before look recent, and a replica that lags behind is considered up to date. Only the use of a primary checked for a suspension. Change: a read that may run on a replica checks first. A suspension discards the positions, also those in responses that have yet to arrive to statements that were sent before. Measured: three cases of consistency.test.ts return the old row without the change and the new one with it.

--- a/packages/direct/src/connection/statement-runner.ts
+++ b/packages/direct/src/connection/statement-runner.ts
@@ -256,7 +256,7 @@
 			return undefined;
 		}
 
-		return group.positionHistory.getRequiredPosition(
+		return group.getRequiredPosition(
 			arrivedAt - route.maximumStalenessMilliseconds + stalenessMarginMilliseconds,
 			route.consistency === Consistency.ReadYourWrites ? lastWrite : undefined,
 		) ?? PositionMarker.RefreshFirst;
--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -154,6 +154,10 @@
 		});
 		this.#authority = new PrimaryAuthority(timer, new SuspensionDetector(timer, () => options.readWallClock()), () => {
 			log.write('suspension-detected', {});
+			for (const {positionHistory} of this.#groups.values()) {
+				positionHistory.discard(timer.now());
+			}
+
 			this.#leaseKeeper.renewNow();
 			client.restartGrant();
 		});
--- a/packages/direct/src/process/instance-group-state.ts
+++ b/packages/direct/src/process/instance-group-state.ts
@@ -1,5 +1,5 @@
 import {type LogPosition} from '@tarragonstack/core/request/log-position';
-import {PrimaryPositionHistory} from '../request/primary-position-history.js';
+import {PrimaryPositionHistory, type SessionWritePosition} from '../request/primary-position-history.js';
 import {type InstancePool} from '../connection/instance-pool.js';
 import {getReign, GroupPhase, type VersionedGroupRecord} from './group-record.js';
 import {type PrimaryAuthority} from './primary-authority.js';
@@ -101,6 +101,18 @@
 		return known && {known, reign: getReign(record)};
 	}
 
+	/**
+	 * Returns the lowest log position that an instance must hold to serve a read, as `PrimaryPositionHistory` does. Positions from
+	 * before a suspension of the process are not used.
+	 *
+	 * @param notBefore - Commits acknowledged before this monotonic time have to be visible.
+	 * @param lastWrite - Last write of the session, if it has to be visible.
+	 */
+	getRequiredPosition(notBefore: number, lastWrite?: SessionWritePosition): LogPosition | undefined {
+		this.#authority.checkSuspension();
+		return this.positionHistory.getRequiredPosition(notBefore, lastWrite);
+	}
+
 	/** Returns whether the primary of a reign may still be used. A reign is the revision of the record that named it first. */
 	isReignCurrent(reign: number): boolean {
 		return this.#isReignInForce(reign) && this.#authority.isValid();
--- a/packages/direct/src/process/primary-authority.ts
+++ b/packages/direct/src/process/primary-authority.ts
@@ -120,7 +120,7 @@
 	 * reports has no newer proof, so hosts that grant to each other cannot renew it.
 	 */
 	acceptGrant(until: number, provenAt: number): void {
-		if (!this.#checkSuspension()) {
+		if (!this.checkSuspension()) {
 			this.#grantedUntil = Math.max(this.#grantedUntil, until);
 			this.#grantProvenAt = Math.max(this.#grantProvenAt, provenAt);
 		}
@@ -134,36 +134,18 @@
 	 * milliseconds.
 	 */
 	renew(requestedAt: number): void {
-		if (!this.#checkSuspension()) {
+		if (!this.checkSuspension()) {
 			this.#ownValidUntil = Math.max(this.#ownValidUntil, requestedAt + authorityMilliseconds);
 			this.onRenewed?.();
 		}
 	}
 
-	/** Returns whether primaries may be used now. Ends the authority if the process may have been suspended. */
-	isValid(): boolean {
-		return !this.#checkSuspension() && this.#timer.now() < this.validUntil;
-	}
-
-	/** Returns whether this host may grant authority now. Ends the authority if the process may have been suspended. */
-	isOwnValid(): boolean {
-		return !this.#checkSuspension() && this.#timer.now() < this.#ownValidUntil;
-	}
-
-	/**
-	 * Returns whether the authority is valid or expired less than `authorityMarginMilliseconds` ago. Ends the authority if the
-	 * process may have been suspended.
-	 */
-	isWithinMargin(): boolean {
-		return !this.#checkSuspension() && this.#timer.now() < this.validUntil + authorityMarginMilliseconds;
-	}
-
 	/**
 	 * Ends the authority and requests a renewal of the lease if the process may have been suspended since the last check.
 	 *
 	 * @returns Whether the process may have been suspended.
 	 */
-	#checkSuspension(): boolean {
+	checkSuspension(): boolean {
 		if (!this.#suspension.check()) {
 			return false;
 		}
@@ -174,4 +156,22 @@
 		this.#requestRenewal();
 		return true;
 	}
+
+	/** Returns whether primaries may be used now. Ends the authority if the process may have been suspended. */
+	isValid(): boolean {
+		return !this.checkSuspension() && this.#timer.now() < this.validUntil;
+	}
+
+	/** Returns whether this host may grant authority now. Ends the authority if the process may have been suspended. */
+	isOwnValid(): boolean {
+		return !this.checkSuspension() && this.#timer.now() < this.#ownValidUntil;
+	}
+
+	/**
+	 * Returns whether the authority is valid or expired less than `authorityMarginMilliseconds` ago. Ends the authority if the
+	 * process may have been suspended.
+	 */
+	isWithinMargin(): boolean {
+		return !this.checkSuspension() && this.#timer.now() < this.validUntil + authorityMarginMilliseconds;
+	}
 }
--- a/packages/direct/src/request/primary-position-history.ts
+++ b/packages/direct/src/request/primary-position-history.ts
@@ -28,6 +28,7 @@
 export class PrimaryPositionHistory {
 	#observations: Observation[] = [];
 	#reign = 0;
+	#discardedUntil = Number.NEGATIVE_INFINITY;
 
 	/** Monotonic time of the newest observation, or `undefined` if there is none. */
 	get newestSentAt(): number | undefined {
@@ -42,7 +43,7 @@
 	 * @param sentAt - Monotonic time at which the statement was sent. The primary must not have been replaced by then.
 	 */
 	observe(reign: number, position: LogPosition, sentAt: number): void {
-		if (reign < this.#reign) {
+		if (reign < this.#reign || sentAt < this.#discardedUntil) {
 			return;
 		}
 
@@ -62,6 +63,17 @@
 		}
 	}
 
+	/**
+	 * Discards the positions in responses to statements that were sent until now, also those that have yet to arrive. After a
+	 * suspension, they are older than the monotonic clock tells.
+	 *
+	 * @param now - Current monotonic time.
+	 */
+	discard(now: number): void {
+		this.#discardedUntil = now;
+		this.#observations = [];
+	}
+
 	/**
 	 * Returns the lowest log position that an instance must hold to serve a read.
 	 *
--- a/packages/direct/tests/fleet/consistency.test.ts
+++ b/packages/direct/tests/fleet/consistency.test.ts
@@ -50,6 +50,40 @@
 		expect(fleet.group.runs.filter(({identifier, instance}) => identifier.startsWith('first') && instance === 'orders-0')).toEqual([]);
 	});
 
+	// Guards against reads that lack commits of the time for which the process was suspended: the monotonic clock makes the positions
+	// of before appear recent.
+	it.each([
+		{database: Consistency.BoundedStaleness, isPending: false},
+		{database: Consistency.ReadYourWrites, isPending: false},
+		{database: Consistency.BoundedStaleness, isPending: true},
+	])('of $database see the commits of a suspension, with a position request under way: $isPending', async ({database, isPending}) => {
+		const fleet = new FakeFleet();
+		await fleet.waitUntilReady();
+		await fleet.run(fleet.openSession(0, database), StatementKind.Write);
+		for (const instance of fleet.group.instances) {
+			instance.receivesCommits = false;
+		}
+
+		await fleet.timer.advance(isPending ? 3000 : 100);
+		if (isPending) {
+			// The response states the position before the following write, and arrives after the suspension.
+			void fleet.openSession(0, database).execute(fleet.createStatement(StatementKind.Read));
+			await fleet.timer.advance(3);
+		}
+
+		const written = await fleet.run(fleet.openSession(1, Consistency.Primary), StatementKind.Write);
+		expect(written.error).toBeUndefined();
+		fleet.hosts[0]!.wallClock.offset = 5000;
+		let read = await fleet.run(fleet.openSession(0, database), StatementKind.Read);
+		// The host may refuse statements until it has renewed its authority.
+		for (let attempt = 0; read.error?.code === StatementErrorCode.Overloaded && attempt < 3; attempt++) {
+			await fleet.timer.advance(20);
+			read = await fleet.run(fleet.openSession(0, database), StatementKind.Read);
+		}
+
+		expect(read.rows).toEqual([String(written.position!.index)]);
+	});
+
 	// Guards against log positions of a replaced primary that make replicas appear up to date.
 	it('demand positions of the new primary after a replacement', async () => {
 		const fleet = new FakeFleet();
