Ignore renewals that were requested before a suspension

A client could get a write acknowledged by a primary that had been replaced while its host was suspended (ONE; found by reading in the review). Cause: the detection of a suspension was used up by another check before the answer to a renewal arrived, and the authority was counted from the request by a clock that had stood still. Change: PrimaryAuthority remembers when it detected a suspension. Renewals that were requested before, and proofs of that time, are ignored. Measured: the new test of promotion.test.ts gets the write acknowledged without the change and refused with it.

--- a/packages/direct/src/process/primary-authority.ts
+++ b/packages/direct/src/process/primary-authority.ts
@@ -36,6 +36,8 @@
 	#leaseRenewalRequestedAt = Number.NEGATIVE_INFINITY;
 	/** Time of the proof behind the last grants. */
 	#grantProvenAt = Number.NEGATIVE_INFINITY;
+	/** Monotonic time of the last check that detected a suspension. What was sent before it is older than this clock tells. */
+	#suspensionDetectedAt = Number.NEGATIVE_INFINITY;
 
 	/**
 	 * @param timer - Monotonic clock.
@@ -82,7 +84,8 @@
 	 * renewal of this host, or the one behind a grant.
 	 */
 	get provenAt(): number {
-		return Math.max(this.#leaseRenewalRequestedAt, this.#grantProvenAt);
+		const provenAt = Math.max(this.#leaseRenewalRequestedAt, this.#grantProvenAt);
+		return provenAt >= this.#suspensionDetectedAt ? provenAt : Number.NEGATIVE_INFINITY;
 	}
 
 	/**
@@ -128,13 +131,13 @@
 
 	/**
 	 * Renews the authority. If the process may have been suspended since the last check, ends it instead and requests a
-	 * renewal of the lease.
+	 * renewal of the lease. A renewal that was requested before a suspension has no effect.
 	 *
 	 * @param requestedAt - Monotonic time at which the lease renewal was requested or other hosts were queried, in
 	 * milliseconds.
 	 */
 	renew(requestedAt: number): void {
-		if (!this.checkSuspension()) {
+		if (!this.checkSuspension() && requestedAt >= this.#suspensionDetectedAt) {
 			this.#ownValidUntil = Math.max(this.#ownValidUntil, requestedAt + authorityMilliseconds);
 			this.onRenewed?.();
 		}
@@ -150,6 +153,7 @@
 			return false;
 		}
 
+		this.#suspensionDetectedAt = this.#timer.now();
 		this.#ownValidUntil = Number.NEGATIVE_INFINITY;
 		this.#grantedUntil = Number.NEGATIVE_INFINITY;
 		this.#inheritedUntil = Number.NEGATIVE_INFINITY;
--- a/packages/direct/tests/fleet/promotion.test.ts
+++ b/packages/direct/tests/fleet/promotion.test.ts
@@ -446,6 +446,31 @@
 		expect(fleet.group.commits).toEqual([]);
 	});
 
+	// Guards against statements on a replaced primary because a renewal that was under way during a suspension counts from its request.
+	it('does not return with the answer to a renewal from before the suspension', async () => {
+		const fleet = new FakeFleet();
+		await fleet.waitUntilReady();
+		const [{host, store, unreachableHosts, wallClock}] = fleet.hosts as [FakeHost];
+		for (const other of fleet.hosts.slice(1)) {
+			unreachableHosts.add(other.name);
+		}
+
+		const renewals = store.calls.get('renewLease')!;
+		while (store.calls.get('renewLease') === renewals) {
+			await fleet.timer.advance(1);
+		}
+
+		await fleet.timer.advance(1);
+		wallClock.offset = 5000;
+		// A check that takes place before the answer arrives detects the suspension.
+		void host.openSession(Consistency.Primary)!.execute(fleet.createStatement(StatementKind.Read));
+		store.isUnavailable = true;
+		await fleet.timer.advance(5);
+		const result = await fleet.run(fleet.openSession(0, Consistency.Primary), StatementKind.Write);
+		expect(result.error?.code).toBe(StatementErrorCode.Overloaded);
+		expect(fleet.group.commits).toEqual([]);
+	});
+
 	// Guards against a host that has lost the store and most other hosts but continues to write.
 	it('ends when neither the store nor a majority of the hosts answers', async () => {
 		const fleet = new FakeFleet();
