--- a/packages/stand-ins/src/platform/platform-store.ts
+++ b/packages/stand-ins/src/platform/platform-store.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {HttpEndpoint, HttpError, type HttpCall} from '../process/http-endpoint.js';
 
 /** Page size of range responses. Smaller than the platform's page size, so that tests exercise paging. */
@@ -21,6 +22,8 @@
 	rejectionStatus: number | undefined;
 	/** Whether calls take effect but get no response. */
 	dropsResponses = false;
+	/** Time until a call is handled, in milliseconds. */
+	answerMilliseconds = 0;
 	readonly #items = new Map<string, Item>();
 	readonly #events: Event[] = [];
 	readonly #leases = new Set<number>();
@@ -103,6 +106,10 @@
 	}
 
 	async #handle(call: HttpCall): Promise<unknown> {
+		if (this.answerMilliseconds > 0) {
+			await sleep(this.answerMilliseconds);
+		}
+
 		call.response.setHeader('store-era', this.#era);
 		const result = await this.#execute(call);
 		return this.dropsResponses ? undefined : result;
