--- a/packages/daemon/tests/process/instance-scheduler.test.ts
+++ b/packages/daemon/tests/process/instance-scheduler.test.ts
@@ -282,7 +282,9 @@
 	])('ends "$text" after its time limit, against $guards', async ({text}) => {
 		await using harness = await createHarness({slots: 1});
 		const stalledSink = {write: () => new Promise<void>(() => {})};
-		const result = await harness.scheduler.submit(createRequest(text, {targetMilliseconds: 50, timeoutMilliseconds: 50}), stalledSink, neverAborted);
+		// The limit contains the login. A request whose limit passes before the login is refused as not run.
+		const limit = {targetMilliseconds: 1000, timeoutMilliseconds: 1000};
+		const result = await harness.scheduler.submit(createRequest(text, limit), stalledSink, neverAborted);
 		expect(result).toMatchObject({verdict: Verdict.MayHaveRun, refusal: {reason: RefusalReason.OutcomeUnknown}});
 		const next = await harness.scheduler.submit(createRequest('rows 1 1'), createSink().sink, neverAborted);
 		expect(next.verdict).toBe(Verdict.Ran);
