Show that a primary is not replaced after most hosts were lost for good

With 4 of 7 hosts gone for longer than any lease, the loss of a primary leaves its group without one: a suspicion needs a majority of all registered hosts, and nothing removes the records of lost hosts until a change of the primary does.

--- a/packages/direct/tests/fleet/promotion.test.ts
+++ b/packages/direct/tests/fleet/promotion.test.ts
@@ -5,6 +5,9 @@
 /** Maximum time from the loss of a primary to the first write on the new one, in milliseconds. */
 const writeGapTargetMilliseconds = 2500;
 
+/** Time after the loss of hosts for good until the loss of a primary, in milliseconds: longer than their leases and the permissions of each other. */
+const lostHostMilliseconds = 40_000;
+
 /** Faults that affect the primary `orders-0`, with the expected reaction. */
 const losses: ReadonlyArray<{readonly name: string; readonly injectFault: (fleet: FakeFleet) => void; readonly isPromoted: boolean; readonly limit: number}> = [
 	{
@@ -415,6 +418,24 @@
 		const acknowledged = new Set(writers.results.filter(({result}) => !result.error).map(({identifier}) => identifier));
 		expect(fleet.group.commits.filter(({identifier, position}) => acknowledged.has(identifier) && !indexes.has(position.index))).toEqual([]);
 	});
+
+	// Guards against groups without a primary because the records of hosts that are gone for good keep the others from being a majority.
+	it.each([3, 4])('takes place after %i of 7 hosts were lost for good', async lostHosts => {
+		const fleet = new FakeFleet(7);
+		await fleet.waitUntilReady();
+		for (const host of fleet.hosts.slice(0, lostHosts)) {
+			isolate(host, fleet, [host.name]);
+			fleet.group.get('orders-0').unreachableFrom.add(host.name);
+		}
+
+		await fleet.timer.advance(lostHostMilliseconds);
+		const writers = fleet.startWriters();
+		fleet.group.get('orders-0').isDown = true;
+		await fleet.timer.advance(writeGapTargetMilliseconds);
+		writers.stop();
+		const write = await fleet.run(fleet.openSession(6, Consistency.Primary), StatementKind.Write);
+		expect(write.error).toBeUndefined();
+	});
 });
 
 describe('permission to use primaries', () => {
