Use late responses of the store, and open new connections to it at growing intervals

Cause: a call to the store without a response in time closed its connection, so the next call opened another one. A loaded store accepts connections late, and closed ones as well. When more arrive than it accepts, each call finds its connection at the end of a growing queue and gives up before its turn, on all hosts, until the load ends.

Change: a connection stays open for 10 s for a late response, which makes it available again.

The three new tests of store-client.test.ts fail before: [false, false, false, false] instead of all callers regained within 3 s, a renewal on the late connection, and the verdict "may have run" for a call that was not sent.

--- a/packages/direct/src/request/index.ts
+++ b/packages/direct/src/request/index.ts
@@ -24,3 +24,4 @@
 export * from './rendezvous-weights.js';
 export * from './growing-delay.js';
 export * from './unproven-connections.js';
+export * from './connection-backoff.js';
--- a/packages/stand-ins/src/relay/relay.ts
+++ b/packages/stand-ins/src/relay/relay.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {HttpEndpoint, HttpError, type HttpCall} from '../process/index.js';
 import {RelayedConnection} from './relayed-connection.js';
 import {
@@ -16,6 +17,10 @@
 	target: string;
 	readonly server: Server;
 	readonly listenAddress: string;
+	/** Time that each new connection takes, one after the other, in milliseconds. */
+	acceptMilliseconds: number;
+	/** Resolves when all earlier connections have been accepted. */
+	accepted: Promise<void>;
 };
 
 type Json = Readonly<Record<string, unknown>>;
@@ -81,6 +86,7 @@
 			'POST /silence': () => ({silenced: this.#endConnections(body, connection => {
 				connection.silence();
 			})}),
+			'POST /acceptance': () => this.#setAcceptance(body),
 			'GET /status': () => this.#getStatus(),
 			'GET /traffic': () => ({flows: [...this.#traffic.values()]}),
 		};
@@ -109,13 +115,13 @@
 		}
 
 		const server = createServer({allowHalfOpen: true, pauseOnConnect: true}, socket => {
-			this.#accept(socket, destination);
+			void this.#acceptInOrder(socket, destination);
 		});
 		server.listen(0, this.#options.address, 1024);
 		await once(server, 'listening');
 		const listenAddress = `${this.#options.address}:${(server.address() as AddressInfo).port}`;
 		const destination: Destination = {
-			name, zone, target, server, listenAddress,
+			name, zone, target, server, listenAddress, acceptMilliseconds: 0, accepted: Promise.resolve(),
 		};
 		this.#destinations.set(key, destination);
 		return {address: listenAddress};
@@ -173,6 +179,16 @@
 		return selected.length;
 	}
 
+	/** Makes destinations take a time for each new connection, also for one whose client has gone, like an overloaded server. */
+	#setAcceptance(body: Json): Json {
+		const destinations = [...this.#destinations.values()].filter(destination => matchesEndpoint(parseSelector(body.destination), destination));
+		for (const destination of destinations) {
+			destination.acceptMilliseconds = Number(body.milliseconds ?? 0);
+		}
+
+		return {destinations: destinations.length};
+	}
+
 	#applyRules(): void {
 		for (const connection of this.#connections) {
 			connection.applyRules();
@@ -198,6 +214,25 @@
 		this.#traffic.set(key, flow);
 	}
 
+	async #acceptInOrder(client: Socket, destination: Destination): Promise<void> {
+		if (destination.acceptMilliseconds === 0) {
+			this.#accept(client, destination);
+			return;
+		}
+
+		client.on('error', () => {
+			client.destroy();
+		});
+		destination.accepted = (async () => {
+			await destination.accepted;
+			await sleep(destination.acceptMilliseconds);
+		})();
+		await destination.accepted;
+		if (!client.destroyed) {
+			this.#accept(client, destination);
+		}
+	}
+
 	#accept(client: Socket, destination: Destination): void {
 		const address = client.remoteAddress ?? '';
 		const connection: RelayedConnection = new RelayedConnection({
