--- a/packages/direct/tests/fleet/delegates.test.ts
+++ b/packages/direct/tests/fleet/delegates.test.ts
@@ -20,6 +20,9 @@
 /** Maximum time from the loss of a primary to the first write on the new one, in milliseconds. */
 const writeGapTargetMilliseconds = 2500;
 
+/** Time for which hosts that cannot confirm a change keep the authority to use the replaced primary, in milliseconds. */
+const unconfirmedAuthorityMilliseconds = 800 + 100;
+
 /** Time in which a fleet that has started at once chooses its delegates, in milliseconds. */
 const settleMilliseconds = 8000;
 
@@ -188,8 +191,7 @@
 		{
 			// The delegate and its zone still reach the replaced primary.
 			name: 'a zone is cut off together with the primary',
-			// Isolated hosts keep their authority for another 0.8 s.
-			limit: writeGapTargetMilliseconds + 1000,
+			limit: writeGapTargetMilliseconds + unconfirmedAuthorityMilliseconds,
 			injectFault(fleet, delegate) {
 				cutOffZone(fleet, findZone(fleet, delegate));
 			},
@@ -197,7 +199,7 @@
 		{
 			// The delegate obtains authority by reports, from which it learns of the change, and grants it to hosts that know nothing.
 			name: 'a delegate that was cut off with its zone and the primary reaches the other hosts again',
-			limit: writeGapTargetMilliseconds + 1000,
+			limit: writeGapTargetMilliseconds + unconfirmedAuthorityMilliseconds,
 			injectFault(fleet, delegate) {
 				const inside = findZone(fleet, delegate);
 				cutOffZone(fleet, inside);
