Test a fleet whose streams to delegates go silent

In a virtual fleet of 24 hosts all open streams between hosts go silent once, twice and four times, 0.7 s apart, while new ones work: no host writes with a gap of 300 ms or more, the configuration is in force within 3 s, and nothing is promoted. No fault was found.

--- a/packages/direct/tests/fleet/delegates.test.ts
+++ b/packages/direct/tests/fleet/delegates.test.ts
@@ -35,6 +35,12 @@
 /** Time after which a delegate that is cut off reaches the other hosts again, in milliseconds. */
 const cutMilliseconds = 6000;
 
+/** Time between two silences of all open streams, in milliseconds. */
+const silenceIntervalMilliseconds = 700;
+
+/** Time within which a new configuration must be in force, in milliseconds. */
+const configurationMilliseconds = 3000;
+
 async function startFleet(hosts = hostCount): Promise<FakeFleet> {
 	const fleet = new FakeFleet(hosts);
 	await fleet.timer.advance(settleMilliseconds);
@@ -174,6 +180,33 @@
 		}
 	});
 
+	// Guards against followers that wait for streams which went silent although new ones work: the class of review/4 between hosts.
+	it.each([1, 2, 4])('interrupt no writes and delay no configuration when all open streams go silent, $0 times', async times => {
+		const fleet = await startFleet();
+		const writers = fleet.startWriters();
+		await fleet.timer.advance(1000);
+		const silencedAt = fleet.timer.now();
+		for (let count = 0; count < times; count++) {
+			expect(fleet.silenceOpenStreams()).toBeGreaterThan(0);
+			await fleet.timer.advance(silenceIntervalMilliseconds);
+		}
+
+		fleet.putConfiguration(2, ['added']);
+		const confirmedAt = fleet.timer.now();
+		await fleet.timer.advance(configurationMilliseconds);
+		writers.stop();
+		await fleet.timer.advance(1000);
+		for (const {name, log} of fleet.hosts) {
+			const writtenAt = writers.results.filter(({host, at, result}) => host === name && at >= silencedAt - 100 && !result.error).map(({at}) => at);
+			const gaps = writtenAt.slice(1).map((time, index) => time - writtenAt[index]!);
+			expect(Math.max(...gaps), name).toBeLessThan(interruptionTargetMilliseconds);
+			expect(log.find(({event, fields}) => event === 'configuration-in-force' && fields.version === 2)?.at, name)
+				.toBeLessThan(confirmedAt + configurationMilliseconds);
+		}
+
+		expect(fleet.promotions).toEqual([]);
+	});
+
 	/** States of a delegate and its followers while the primary is lost. */
 	const promotions: ReadonlyArray<{readonly name: string; readonly limit: number; readonly injectFault: (fleet: FakeFleet, delegate: FakeHost) => void}> = [
 		{name: 'all hosts are well', limit: writeGapTargetMilliseconds, injectFault() {}},
--- a/packages/direct/tests/fleet/fake-fleet.ts
+++ b/packages/direct/tests/fleet/fake-fleet.ts
@@ -178,6 +178,11 @@
 		this.#transports.get(receiver)?.onMessage?.(message, from);
 	}
 
+	/** Makes the open streams between hosts silent; returns the number of their ends. */
+	silenceOpenStreams(): number {
+		return this.#streams.silenceOpenStreams();
+	}
+
 	/** Opens a stream to a host as if it came from another host. */
 	openStream(from: string, address: string): PeerStream {
 		return this.#streams.createTransport(from).open(address);
--- a/packages/direct/tests/fleet/fake-streams.ts
+++ b/packages/direct/tests/fleet/fake-streams.ts
@@ -11,6 +11,8 @@
 	readonly host: string;
 	peer: Endpoint | undefined;
 	isClosed: boolean;
+	/** Whether nothing that is sent arrives any more, not even the end of the stream. */
+	isSilent: boolean;
 	/** Actions at the other end that a partition delays, in order. */
 	readonly delayed: Array<() => void>;
 };
@@ -52,11 +54,21 @@
 		return transport;
 	}
 
+	/** Makes the open streams silent for good, in both directions. New ones work. */
+	silenceOpenStreams(): number {
+		for (const endpoint of this.#endpoints) {
+			endpoint.isSilent = true;
+		}
+
+		return this.#endpoints.size;
+	}
+
 	#createEndpoint(host: string): Endpoint {
 		const endpoint: Endpoint = {
 			host,
 			peer: undefined,
 			isClosed: false,
+			isSilent: false,
 			delayed: [],
 			onMessage: undefined,
 			onClose: undefined,
@@ -99,6 +111,10 @@
 	/** Runs an action at the other end after the latency, and after the end of a partition. */
 	#deliver(endpoint: Endpoint, action: () => void): void {
 		this.#fleet.timer.schedule(latencyMilliseconds, () => {
+			if (endpoint.isSilent) {
+				return;
+			}
+
 			if (endpoint.delayed.length > 0) {
 				endpoint.delayed.push(action);
 			} else if (this.#isCut(endpoint)) {
