--- a/packages/direct/tests/fleet/instance-checks.test.ts
+++ b/packages/direct/tests/fleet/instance-checks.test.ts
@@ -4,14 +4,19 @@
 /** Connections that the hosts keep open to the primary, which is more than the load needs. */
 const pooledConnections = 18;
 
+/**
+ * Longest statement that must not cause a check, in milliseconds. An instance counts as unresponsive after 250 ms, and a check has
+ * to start one interval of the periodic checks, 40 ms, and a round trip, for which the design allows 30 ms, earlier.
+ */
+const longestUncheckedMilliseconds = 250 - 40 - 30 - 1;
+
 /** Maximum time from the loss of a primary to the first write on the new one, in milliseconds. */
 const writeGapTargetMilliseconds = 2500;
 
 describe('checks of an instance', () => {
 	// Guards against instances that spend their slots on new connections while statements queue: a handshake takes 12 ms of a
 	// slot, half as long as a statement.
-	// A check has to start before an instance counts as unresponsive, at 250 ms.
-	it.each([100, 150, 175])('open no connections while each statement takes %i ms', async serviceMilliseconds => {
+	it.each([100, 150, longestUncheckedMilliseconds])('open no connections while each statement takes %i ms', async serviceMilliseconds => {
 		const fleet = new FakeFleet();
 		await fleet.waitUntilReady();
 		fleet.group.get('orders-0').serviceMilliseconds = serviceMilliseconds;
