--- a/review/lib-2/database.mjs
+++ b/review/lib-2/database.mjs
@@ -169,6 +169,7 @@
 		this.born = Date.now();
 		this.#sequence = 0;
 		await this.start(this.address);
+		this.catchUp();
 	}
 
 	close() {
@@ -199,7 +200,7 @@
 	}
 
 	catchUp(leader = this.database.leader) {
-		if (!this.isDeaf && this.isRunning && this.role === 'replica') {
+		if (!this.isDeaf && this.isRunning && leader.isRunning && this.role === 'replica') {
 			this.log.push(...leader.log.slice(this.log.length));
 		}
 	}
