--- a/review/lib-2/database.mjs
+++ b/review/lib-2/database.mjs
@@ -130,7 +130,7 @@
 	setReport() {
 		this.#sequence++;
 		this.database.platform.put(`servers/${this.id}`, {
-			backend: this.database.name, address: this.address, zone: this.zone, config_version: 'v1', slots: this.database.slots, state: this.state,
+			backend: this.database.name, address: this.publicAddress ?? this.address, zone: this.zone, config_version: 'v1', slots: this.database.slots, state: this.state,
 			cold_remaining_ms: 0, db_role: this.role, seq: this.#sequence, born: this.born,
 		});
 	}
--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -14,6 +14,8 @@
 	events = [];
 	leases = new Map();
 	revision = 100;
+	/** Number of the store's era, which a restoration raises; 0 for a store that sends none. */
+	era = 0;
 	#nextLease = 9000;
 	#waiting = new Set();
 	#servers = [];
@@ -62,6 +64,21 @@
 		return [...this.items.values()].filter(({key}) => key.startsWith(prefix)).map(({key, value}) => ({key, value: Buffer.from(value, 'base64').toString()}));
 	}
 
+	/** Takes a copy from which the store can be restored. */
+	copy() {
+		return {items: new Map(this.items), events: this.events.length, revision: this.revision};
+	}
+
+	/** Returns to an earlier copy: what was written since is gone, leases too, and revisions are given out again. */
+	restore({items, events, revision}) {
+		this.era++;
+		this.items = new Map(items);
+		this.events.length = events;
+		this.revision = revision;
+		this.leases.clear();
+		this.#wake();
+	}
+
 	#serve(request, response) {
 		const chunks = [];
 		request.on('data', chunk => chunks.push(chunk));
@@ -70,7 +87,9 @@
 				const text = Buffer.concat(chunks).toString();
 				Promise.resolve(this.#handle(request, text === '' ? {} : JSON.parse(text))).then(([status, body]) => {
 					const payload = JSON.stringify(body);
-					response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(payload)}).end(payload);
+					response.writeHead(status, {
+						'content-type': 'application/json', 'content-length': Buffer.byteLength(payload), ...(this.era > 0 && {'store-era': this.era}),
+					}).end(payload);
 				}, () => response.writeHead(400, {'content-length': 0}).end());
 			}, 4);
 		});
@@ -132,7 +151,12 @@
 		const prefix = query.get('path_prefix') ?? '';
 		const find = () => this.events.filter(({rev, key}) => rev > after && key.startsWith(prefix));
 		const until = performance.now() + Number(query.get('wait_ms'));
-		while (find().length === 0 && performance.now() < until && !request.destroyed) {
+		const {era} = this;
+		if (after > this.revision) {
+			return [410, {}];
+		}
+
+		while (era === this.era && find().length === 0 && performance.now() < until && !request.destroyed) {
 			await new Promise(resolve => {
 				const wake = () => {
 					clearTimeout(timer);
@@ -145,7 +169,7 @@
 			});
 		}
 
-		return [200, {events: find(), store_revision: this.revision}];
+		return era === this.era ? [200, {events: find(), store_revision: this.revision}] : [410, {}];
 	}
 
 	#commit({expected = [], writes = [], remove = []}) {
