--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,6 +1,6 @@
 /**
- * The system starts for the first time, and the primary of each service is replaced as planned while it does. It reports
- * `draining` 0.5 s after the hosts were started, before they have written down which instance leads.
+ * A service with `sync_replicas` 1. One replica receives nothing for a while, the other one is lost for good, and the primary
+ * crashes and comes back with its log. No instance that answers meanwhile holds the newest acknowledged commits.
  */
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
@@ -10,84 +10,112 @@
 
 const directory = path.dirname(fileURLToPath(import.meta.url));
 const zones = ['oviedo', 'gijon', 'santander'];
-const consistencies = ['primary', 'bounded_staleness', 'read_your_writes'];
-const servedMilliseconds = 70_000;
-const drainMilliseconds = 7000;
-
-/** Replaces a primary: it drains, ends a little after `drain_ms`, and a new instance has its log at its address. */
-async function replace(database, journal) {
-	const [former] = database.instances;
-	journal.write(`platform: ${former.id}, primary of ${database.name}, reports draining (planned work)`);
-	former.drain();
-	setTimeout(async () => {
-		former.close();
-		database.platform.remove(`servers/${former.id}`);
-		database.instances.shift();
-		await pause(200);
-		const successor = await database.add(`${former.id}n`, former.zone, former.address, 'replica');
-		successor.log.push(...former.log);
-		journal.write(`platform: ${former.id} has ended; ${successor.id} is there with its log, as a replica`);
-	}, drainMilliseconds + 1000);
-}
+const sessions = 12;
 
 await runCase(directory, async ({journal, hasTrouble, own}) => {
 	const platform = own(new Platform());
-	const databases = ['a', 'b', 'c'].map(letter => own(new Database(platform, {name: `lavado-db-${letter}`})));
-	platform.onPromote = ({group, id}) => databases.find(({name}) => name === group).promote(id);
+	const database = own(new Database(platform, {name: 'lavado-db-a', sync: 1}));
+	platform.onPromote = ({id, holder, token}) => {
+		const status = database.promote(id);
+		journal.write(`platform: promote ${id} by ${holder} token ${token} -> ${status}`);
+		return status;
+	};
 
 	const store = await platform.listen(`${network}.1`);
-	for (const [index, database] of databases.entries()) {
-		for (const [position, zone] of zones.entries()) {
-			await database.add(`i-${index}${position}`, zone, `${network}.${11 + (index * 3) + position}`, position === 0 ? 'primary' : 'replica');
-		}
-	}
-
+	const [primary, lostReplica, deaf] = [
+		await database.add('i-p', zones[0], `${network}.11`, 'primary'),
+		await database.add('i-r1', zones[1], `${network}.12`, 'replica'),
+		await database.add('i-r2', zones[2], `${network}.13`, 'replica'),
+	];
 	platform.put('op/config', {
 		config_version: 3,
-		routes: databases.flatMap(({name}, index) => consistencies.map(type => ({
-			name: `r${index}${type}`, database: `db${index}${type}`, path_prefix: '/', type, timeout_ms: 800, target_latency_ms: 200, priority: 0, backend: name, max_staleness_ms: 1500,
-		}))),
-		services: databases.map(({name}) => ({name, max_conns: 30, sync_replicas: 0})),
-		limits: {tx_idle_ms: 3000},
+		routes: [{name: 'counter-booking', database: 'db1', path_prefix: '/', type: 'primary', timeout_ms: 800, target_latency_ms: 100, priority: 0, backend: database.name}],
+		services: [{name: database.name, max_conns: 30, sync_replicas: 1}],
+		limits: {tx_idle_ms: 4000},
 	});
-	const hosts = zones.map((zone, index) => own(new Host({name: `front-${zone}-${index}`, zone, address: `${network}.${31 + index}`, store})));
+	const hosts = zones.map((zone, index) => own(new Host({name: `front-${zone}-1`, zone, address: `${network}.${21 + index}`, store})));
 	await Promise.all(hosts.map(async host => host.start()));
-	await pause(500);
-	if (hasTrouble) {
-		await Promise.all(databases.map(async database => replace(database, journal)));
-	}
-
 	await Promise.all(hosts.map(async host => host.waitUntilReady()));
-	journal.write('all hosts are ready');
-	await pause(9000);
+	await pause(2000);
 
-	const until = performance.now() + servedMilliseconds;
-	const answers = {};
+	let isRunning = true;
 	let next = 0;
-	await Promise.all(Array.from({length: 208}, async (_, index) => {
-		const database = `db${index % 3}${consistencies[Math.floor(index / 3) % 3]}`;
-		while (performance.now() < until) {
+	const acknowledged = [];
+	const answers = {};
+	const runSession = async index => {
+		while (isRunning) {
 			const client = new Client(hosts[index % hosts.length].front);
-			let isUsable = (await client.open(database))?.startsWith('READY') === true;
-			while (isUsable && performance.now() < until) {
+			let isUsable = (await client.open('db1'))?.startsWith('READY') === true;
+			while (isRunning && isUsable) {
 				const id = `s${index}n${next++}`;
-				const answer = await client.query(id, next % 5 === 0 && !database.includes('bounded') ? `WRITE k${index} v` : `READ k${index}`, 2000);
-				const word = answer === undefined ? 'no answer' : /(?:^|\r\n)COMPLETE/.test(answer) ? 'served' : answer.split('\r\n')[0];
+				const answer = await client.query(id, `WRITE k${index} v${id}`);
+				const word = answer === undefined ? 'none' : answer.startsWith('COMPLETE') ? 'COMPLETE' : answer.split(' ').slice(0, 2).join(' ');
 				answers[word] = (answers[word] ?? 0) + 1;
-				isUsable = answer !== undefined;
-				// The time that a refusal tells.
-				await pause(100);
+				if (word === 'COMPLETE') {
+					acknowledged.push({id, at: performance.now()});
+				}
+
+				isUsable = answer !== undefined && /READY I /.test(answer);
+				await pause(40);
 			}
 
 			client.close();
-			await pause(100);
+			await pause(50);
 		}
-	}));
+	};
+
+	const clients = Array.from({length: sessions}, async (_, index) => runSession(index));
+	await pause(2000);
+	if (hasTrouble) {
+		journal.write('disruption: i-r2 receives nothing for 6.5 s');
+		deaf.isDeaf = true;
+		setTimeout(() => {
+			deaf.isDeaf = false;
+			deaf.catchUp();
+		}, 6500);
+		await pause(1000);
+		journal.write(`disruption: i-r1 is lost for good; positions: i-p ${primary.position}, i-r1 ${lostReplica.position}, i-r2 ${deaf.position}`);
+		lostReplica.crash();
+		await pause(2000);
+		journal.write('disruption: the primary i-p crashes for 7 s');
+		primary.crash();
+		setTimeout(() => {
+			journal.write(`i-p comes back with its log, at ${primary.position}; the primary is ${database.leader.id}`);
+			void primary.comeBack();
+		}, 7000);
+		await pause(11_000);
+	} else {
+		await pause(3000);
+		journal.write('platform: i-p reports draining (planned work)');
+		primary.drain();
+		await pause(6000);
+	}
+
+	isRunning = false;
+	await Promise.all(clients);
+	journal.write(`answers: ${JSON.stringify(answers)}`);
+	for (const {id, at} of acknowledged) {
+		journal.write(`acknowledged ${id} at ${at.toFixed(0)}`);
+	}
+
 	for (const host of hosts) {
-		journal.write(`${host.name}: ends by itself ${JSON.stringify(host.exits)} ${host.output.split('\n').find(line => line.includes('FATAL')) ?? ''}`);
+		for (const line of host.output.split('\n').filter(text => /candidate-chosen|promotion-ordered|change-/.test(text))) {
+			journal.write(`log of ${host.name}: ${line}`);
+		}
+	}
+
+	if (acknowledged.length === 0) {
+		throw new Error('no write was acknowledged');
+	}
+
+	for (const {at, id, term, position, log} of database.promoted) {
+		const held = new Set(log);
+		const lost = acknowledged.filter(write => write.at < at && !held.has(write.id));
+		journal.write(`promoted ${id} in term ${term} at ${position}; acknowledged before and missing in its log: ${lost.length}`);
+		if (lost.length > 0) {
+			return `LOST: ${id} was promoted without ${lost.length} acknowledged commits, for example ${lost.at(-1).id}`;
+		}
 	}
 
-	const ran = databases.flatMap(({instances}) => instances.flatMap(instance => instance.ran)).length;
-	journal.write(`answers in ${servedMilliseconds / 1000} s: ${JSON.stringify(answers)}; run by instances: ${ran}`);
-	return (answers.served ?? 0) === 0 ? `Fault: no request is served in ${servedMilliseconds / 1000} s, of ${Object.values(answers).reduce((sum, count) => sum + count, 0)}` : undefined;
+	return undefined;
 });
--- a/review/lib-2/database.mjs
+++ b/review/lib-2/database.mjs
@@ -13,10 +13,10 @@
 });
 
 export class Database {
-	/** Acknowledged writes: {id, item, data, instance, position, at}. */
-	acknowledged = [];
 	/** Promotions that took effect: {at, id, term, position}. */
 	promoted = [];
+	/** Commits at any instance: {id, instance, term, at}. */
+	commits = [];
 	instances = [];
 
 	constructor(platform, {name, sync = 0, slots = 2, queue = 16, maximumConnections = 30, workMilliseconds = 5, promoteMilliseconds = 1000, lagMilliseconds = 60}) {
@@ -63,7 +63,7 @@
 		instance.setReport();
 		this.promoted.push({at: performance.now(), id: instance.id, term: instance.term, position: instance.position, former: former?.id, log: instance.log.map(({id}) => id)});
 		for (const other of this.instances) {
-			if (other !== instance && other !== former) {
+			if (other !== instance && other !== former && other.isRunning && other.role === 'replica') {
 				other.follow(instance);
 			}
 		}
@@ -210,6 +210,7 @@
 		const start = this.log.length;
 		for (const entry of entries) {
 			this.log.push({...entry, term: this.term, number: this.log.length + 1});
+			this.database.commits.push({id: entry.id, instance: this.id, term: this.term, at: performance.now()});
 		}
 
 		const end = this.log.length;
--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -102,8 +102,7 @@
 		if (call === 'POST /promote') {
 			const promotion = {at: performance.now(), group: body.backend, id: body.id, holder: request.headers['x-lease-holder'], token: Number(request.headers['x-fencing-token'])};
 			this.promotions.push(promotion);
-			const status = this.onPromote(promotion);
-			return [status, {}];
+			return Promise.resolve(this.onPromote(promotion)).then(status => [status, {}]);
 		}
 
 		if (call === 'GET /kv-key') {
