Promote only instances that hold every acknowledged commit, also if they leave

What callers saw: with sync_replicas 1, a replica that receives nothing was promoted while another one that was about to stop had received every commit. Cause: the count of reports only ensured that one of them holds the commits. The choice then preferred instances that stay, and left out those that leave for more than 4.5 s, whatever their log positions. A planned change took the most advanced of the eligible instances after 1.5 s, too. And an attempt after the first could not return to the lost primary, so only a worse replica remained. Change: a change establishes the position that covers every acknowledged commit, from enough reports or from the released primary. Only instances that have received it are eligible. The position stays in the record, so that an instance that takes over the log of one that has left is eligible later. If only the released primary holds it and responds, the group uses that again. change-stalled names the missing reports and for how long. A change also reads the configuration and, with synchronous replicas, the entries of the instances again. Why it works: an instance without the required position is never ordered, however the others are ranked; the wait ends with the first one that has it. Tests: synchronous-replicas.test.ts, 4 of its 8 tests failed before ('only a leaving replica holds them', 'a leaving primary waits', 'took over the log', 'name the missing report') and pass now. candidate-choice.test.ts: 'none without a quorum' counted reports inside the choice; the count has moved to findRequiredPosition, so that six cases about the required position replace it.

--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -184,7 +184,8 @@
 			getGroups: () => this.#groups.values(),
 			holdsLease: () => this.#access.mode === AccessMode.Direct,
 			isStoreAvailable: () => this.#follower.isAvailable,
-			readFleet: async () => this.#follower.read(this.#era.keys.prefix),
+			readFleet: async () => this.#readAll([this.#era.keys.prefix, options.formats.configurationKey]),
+			readInstances: async () => this.#readAll([options.formats.instancePrefix]),
 			waitForFollowers: async (group, change, isCurrent) => this.#delegateServer.waitForFollowers(group, change, usesDelegates(this.#fleet.hosts.size), isCurrent),
 		});
 		const client = new DelegateClient({
@@ -500,7 +501,7 @@
 		this.#workspaceLimits.handleConfiguration();
 		for (const {name, synchronousReplicas} of configuration.groups.values()) {
 			const group = this.#groups.get(name) ?? new InstanceGroupState(name, this.#authority);
-			group.synchronousReplicas = synchronousReplicas;
+			group.replication = {configurationVersion: configuration.version, synchronousReplicas};
 			this.#groups.set(name, group);
 		}
 
@@ -513,6 +514,12 @@
 		});
 	}
 
+	/** Reads parts of the store; returns whether the store responded to all reads. */
+	async #readAll(prefixes: readonly string[]): Promise<boolean> {
+		const responses = await Promise.all(prefixes.map(async prefix => this.#follower.read(prefix)));
+		return responses.every(Boolean);
+	}
+
 	#getConnectionLimit(groupName: string): number {
 		return this.#configuration?.groups.get(groupName)?.connectionLimit ?? 0;
 	}
--- a/packages/direct/src/process/group-record-creator.ts
+++ b/packages/direct/src/process/group-record-creator.ts
@@ -102,9 +102,10 @@
 			return;
 		}
 
-		const {phase, primary, term, candidate, candidateTerm, changeIdentifier} = former;
+		const {phase, primary, term, candidate, candidateTerm, changeIdentifier, requiredPosition} = former;
 		void this.#createRecord(group, {
 			phase, primary, term, changeIdentifier, ...(candidate && {candidate}), ...(candidateTerm && {candidateTerm}), ...(isSettled ? {reign: getReign(former)} : {mayBePromoting: true}),
+			...(requiredPosition && {requiredPosition}),
 		});
 	}
 
--- a/packages/direct/src/process/group-record.ts
+++ b/packages/direct/src/process/group-record.ts
@@ -1,3 +1,4 @@
+import {type LogPosition} from '@tarragonstack/core/request/log-position';
 import {err, ok, type Result} from 'neverthrow';
 
 /** Phases of a change of the primary. */
@@ -31,6 +32,8 @@
 	readonly reign?: number;
 	/** Whether an earlier record of the change, which the store has lost, may have led to a promotion order. */
 	readonly mayBePromoting?: boolean;
+	/** Position that covers every commit acknowledged before the present change, once it has been established. */
+	readonly requiredPosition?: LogPosition | undefined;
 };
 
 /** Returns the reign of a record's primary: the revision of the record that named it first. */
--- a/packages/direct/src/process/instance-group-state.ts
+++ b/packages/direct/src/process/instance-group-state.ts
@@ -1,3 +1,5 @@
+import {MissingReports} from '../request/missing-reports.js';
+import {type InstanceProcess, type SynchronousReplication, type SynchronousSet} from '../request/synchronous-set.js';
 import {ClassTimes} from '../request/class-times.js';
 import {type ReplicaLag, type RequiredPosition} from '../request/replica-lag.js';
 import {PrimaryPositionHistory, type SessionWritePosition} from '../request/primary-position-history.js';
@@ -35,8 +37,10 @@
 export class InstanceGroupState {
 	/** Name of the group. */
 	readonly name: string;
-	/** Number of replicas that hold each acknowledged commit, from the newest configuration. */
-	synchronousReplicas = 0;
+	/** Number of replicas that hold each acknowledged commit, from the configuration in force. */
+	replication: SynchronousReplication = {configurationVersion: 0, synchronousReplicas: 0};
+	/** Reports that the present change of the primary needs and lacks. */
+	readonly missingReports = new MissingReports();
 	/** Recent log positions of the primary. */
 	readonly positionHistory = new PrimaryPositionHistory();
 	/** Usual service times of the instances by class of statements. */
@@ -63,6 +67,16 @@
 		return [...this.instances.values()].flatMap(({pool, substitute}) => substitute ? [pool, substitute.pool] : [pool]);
 	}
 
+	/** Processes of the instances. */
+	get processes(): InstanceProcess[] {
+		return [...this.instances.values()].map(({pool: {instance: {id, startedAt}}}) => ({id, startedAt}));
+	}
+
+	/** Processes that may hold acknowledged commits, or `undefined` if a promotion may lose commits. */
+	get synchronousSet(): SynchronousSet | undefined {
+		return this.replication.synchronousReplicas === 0 ? undefined : {...this.replication, members: this.processes};
+	}
+
 	/** Newest known record of the group, or `undefined` if there is none. */
 	get record(): VersionedGroupRecord | undefined {
 		return this.#record;
--- a/packages/direct/src/process/primary-change.ts
+++ b/packages/direct/src/process/primary-change.ts
@@ -1,21 +1,18 @@
 import {loadCrypto} from '@tarragonstack/core/codec/load-crypto';
-import {compareLogPositions} from '@tarragonstack/core/request/log-position';
+import {type LogPosition} from '@tarragonstack/core/request/log-position';
 import {type Result} from 'neverthrow';
 import {type InstanceStatus, type UpstreamChannel} from '../connection/upstream-channel.js';
-import {type CandidateChoice, type CandidateReport, chooseCandidate} from '../request/candidate-choice.js';
-import {getCandidateQuorum} from '../request/candidate-quorum.js';
+import {type Candidate, CandidateSearch, type EarlierOrders} from './candidate-search.js';
+import {ChangeReason} from './change-reason.js';
 import {ConfirmationOutcome, ConfirmationWait} from './confirmation-wait.js';
 import {commitGroupRecord} from './commit-group-record.js';
 import {GroupPhase, type GroupRecord, type VersionedGroupRecord} from './group-record.js';
 import {type InstanceGroupState, type KnownInstance} from './instance-group-state.js';
-import {readInstanceStatus, statusTimeoutMilliseconds} from './instance-status.js';
+import {statusTimeoutMilliseconds} from './instance-status.js';
 import {type PromoterRecord} from './promoter-record.js';
 import {PromotionAnswer} from './promotion-service.js';
 import {callTimeoutMilliseconds, pollIntervalMilliseconds, type PromotionContext} from './promotion-context.js';
 
-/** Time for which a planned change waits for the candidate to hold all commits of the primary, in milliseconds. */
-const catchUpMilliseconds = 1500;
-
 /**
  * Time after which a promotion without effect is ordered again or for another instance, in milliseconds. A promotion
  * takes 1 s.
@@ -31,32 +28,8 @@
 /** Time after the record of a promotion was written until the promotion can no longer take effect, in milliseconds. */
 export const orderEffectMilliseconds = maximumOrderDelayMilliseconds + promotionTimeoutMilliseconds;
 
-/** Reason for replacing a primary. */
-export enum ChangeReason {
-	/** The primary is about to stop but still responds, so no commits need to be lost. */
-	Leaving = 'leaving',
-	/** This host and most others cannot reach the primary. */
-	Lost = 'lost',
-	/** Most hosts cannot reach the primary, but this one can. */
-	LostToOthers = 'lost-to-others',
-}
-
-/** Instance to be promoted, with the term that it leads already if another one may have been promoted since. */
-type Candidate = {
-	readonly known: KnownInstance;
-	readonly fromTerm: number | undefined;
-};
-
 /** Fields of a group's record that an attempt changes. */
-type ChangeFields = Pick<GroupRecord, 'phase' | 'primary' | 'candidate' | 'candidateTerm' | 'term' | 'mayBePromoting'>;
-
-/** Monotonic times after which promotions that were ordered before this attempt no longer take effect. */
-type EarlierOrders = {
-	/** End for the candidate of the record. */
-	readonly recordedUntil: number;
-	/** End for orders that the store has lost. */
-	readonly unknownUntil: number;
-};
+type ChangeFields = Pick<GroupRecord, 'phase' | 'primary' | 'candidate' | 'candidateTerm' | 'term' | 'mayBePromoting' | 'requiredPosition'>;
 
 /** Attempt to replace the primary of a group. */
 export class PrimaryChange {
@@ -93,7 +66,7 @@
 	 */
 	async run(base: VersionedGroupRecord): Promise<void> {
 		const {log} = this.#context;
-		const {primary, term, candidate, mayBePromoting} = base;
+		const {primary, candidate, mayBePromoting} = base;
 		const announcement = await this.#commitRecord(base, createAnnouncement(base));
 		if (!announcement) {
 			return;
@@ -109,8 +82,7 @@
 		const outcome = await wait.run(mayGiveUp);
 		const {announced} = wait;
 		if (outcome === ConfirmationOutcome.PrimaryAnswers) {
-			log.write('change-given-up', {group: this.#group.name, primary, reason: 'the primary responds again'});
-			await this.#commitRecord(announced, {phase: GroupPhase.Settled, primary, term});
+			await this.#giveUp(announced, 'the primary responds again');
 			return;
 		}
 
@@ -126,15 +98,26 @@
 	}
 
 	async #promote(announced: VersionedGroupRecord, earlierOrders: EarlierOrders): Promise<void> {
-		const {log, timer} = this.#context;
-		const candidate = await this.#findCandidate(announced, earlierOrders);
+		const {log, timer, readInstances} = this.#context;
+		// An instance that joined shortly before the release may hold the only copy of an acknowledged commit.
+		if (this.#group.synchronousSet && !(await readInstances())) {
+			log.write('change-stalled', {group: this.#group.name, reason: 'the store does not respond'});
+			return;
+		}
+
+		const {candidate, isPrimaryWhole, requiredPosition} = await new CandidateSearch(this.#context, this.#group, {announced, reason: this.#reason, earlierOrders}).run();
+		if (isPrimaryWhole) {
+			await this.#giveUp(announced, 'only the released primary holds every acknowledged commit');
+			return;
+		}
+
 		if (!candidate) {
-			log.write('change-stalled', {group: this.#group.name, reason: 'no instance is eligible for promotion'});
+			await this.#recordRequiredPosition(announced, requiredPosition);
 			return;
 		}
 
 		const {id} = candidate.known.pool.instance;
-		const answer = await this.#orderPromotion(announced, candidate);
+		const answer = await this.#orderPromotion(announced, candidate, requiredPosition);
 		if (!answer || (answer.isOk() && answer.value === PromotionAnswer.InstanceNotRunning)) {
 			return;
 		}
@@ -156,8 +139,27 @@
 		}
 	}
 
+	/** Uses the released primary again. */
+	async #giveUp(announced: VersionedGroupRecord, reason: string): Promise<void> {
+		const {primary, term} = announced;
+		this.#context.log.write('change-given-up', {group: this.#group.name, primary, reason});
+		await this.#commitRecord(announced, {phase: GroupPhase.Settled, primary, term});
+	}
+
+	/** Records the required position for later attempts, in which the instances that reported it may be gone. */
+	async #recordRequiredPosition(announced: VersionedGroupRecord, requiredPosition: LogPosition | undefined): Promise<void> {
+		if (requiredPosition && !announced.requiredPosition) {
+			const {revision, learntAt: _, ...record} = announced;
+			await commitGroupRecord(this.#context, this.#group, revision, {...record, requiredPosition});
+		}
+	}
+
 	/** Orders the promotion. Returns the answer, or `undefined` if nothing was ordered. */
-	async #orderPromotion(announced: VersionedGroupRecord, {known, fromTerm}: Candidate): Promise<Result<PromotionAnswer, string> | undefined> {
+	async #orderPromotion(
+		announced: VersionedGroupRecord,
+		{known, fromTerm}: Candidate,
+		requiredPosition: LogPosition | undefined,
+	): Promise<Result<PromotionAnswer, string> | undefined> {
 		const {timer, suspension, promotions, metrics, log, hostName} = this.#context;
 		const {id: instance} = known.pool.instance;
 		suspension.check();
@@ -165,6 +167,7 @@
 		const {primary, term} = announced;
 		const ordered = await this.#commitRecord(announced, {
 			phase: GroupPhase.Promoting, primary, candidate: instance, term, ...(fromTerm !== undefined && {candidateTerm: fromTerm}),
+			...(requiredPosition && {requiredPosition}),
 		});
 		if (!ordered) {
 			return undefined;
@@ -182,65 +185,12 @@
 		log.write('promotion-ordered', {group: this.#group.name, instance, fencingToken, fromTerm, outcome: answer.isOk() ? answer.value : answer.error});
 		if (answer.isOk() && answer.value === PromotionAnswer.InstanceNotRunning && announced.candidate !== instance) {
 			// The next attempt need not wait for the effect of an order that was refused.
-			await this.#commitRecord(ordered, createAnnouncement(announced));
+			await this.#commitRecord(ordered, createAnnouncement({...announced, requiredPosition}));
 		}
 
 		return answer;
 	}
 
-	/**
-	 * Returns the instance to be promoted, or `undefined` if too few respond. Waits while a promotion that was ordered earlier
-	 * may take effect, and until a planned change loses no commits.
-	 */
-	async #findCandidate(announced: GroupRecord, earlierOrders: EarlierOrders): Promise<Candidate | undefined> {
-		const {timer, dialer, log} = this.#context;
-		const caughtUpUntil = timer.now() + catchUpMilliseconds;
-		const until = Math.max(caughtUpUntil, earlierOrders.recordedUntil + pollIntervalMilliseconds, earlierOrders.unknownUntil + pollIntervalMilliseconds);
-		const primary = this.#group.instances.get(announced.primary);
-		const primaryStatus = this.#reason === ChangeReason.Leaving && primary ? await readInstanceStatus(primary.pool.instance, dialer, timer) : undefined;
-		for (;;) {
-			const now = timer.now();
-			const {choice, reports} = await this.#choose(announced, {isOrderPending: now < earlierOrders.recordedUntil, isUnknownOrderPending: now < earlierOrders.unknownUntil});
-			const known = choice && this.#group.instances.get(choice.id);
-			const report = reports.find(({id}) => id === choice?.id);
-			const isCaughtUp = report !== undefined && (primaryStatus === undefined || compareLogPositions(report.received, primaryStatus.received) >= 0);
-			if (known && (isCaughtUp || now >= caughtUpUntil)) {
-				log.write('candidate-chosen', {
-					group: this.#group.name, instance: choice.id, fromTerm: choice.fromTerm, ordered: announced.candidate,
-					pending: now < earlierOrders.recordedUntil, reports: JSON.stringify(reports),
-				});
-				return {known, fromTerm: choice.fromTerm};
-			}
-
-			if (now >= until) {
-				return undefined;
-			}
-
-			await timer.sleep(pollIntervalMilliseconds);
-		}
-	}
-
-	async #choose(
-		{primary, term, candidate, candidateTerm, mayBePromoting}: GroupRecord,
-		pending: {isOrderPending: boolean; isUnknownOrderPending: boolean},
-	): Promise<{choice: CandidateChoice | undefined; reports: CandidateReport[]}> {
-		const {timer, dialer} = this.#context;
-		const others = [...this.#group.instances.values()].filter(({pool}) => pool.instance.id !== primary);
-		const answers = await Promise.all(others.map(async known => ({known, status: await readInstanceStatus(known.pool.instance, dialer, timer)})));
-		const reports = answers.flatMap(({known: {pool, leavingSince}, status}): CandidateReport[] => status
-			? [{id: pool.instance.id, ...(leavingSince !== undefined && {leavingMilliseconds: Math.round(timer.now() - leavingSince)}), ...status}]
-			: []);
-		const choice = chooseCandidate(reports, {
-			term,
-			// The store may have lost an order that followed the one in the record.
-			...(!mayBePromoting && {ordered: candidate, orderedFromTerm: candidateTerm}),
-			...pending,
-			instances: others.length,
-			quorum: getCandidateQuorum(others.length, this.#group.synchronousReplicas),
-		});
-		return {choice, reports};
-	}
-
 	/**
 	 * Waits until the candidate leads a term that is due to its promotion. An accepted order leaves the present primary
 	 * unchanged, so one that still leads `fromTerm` after the wait is the present primary.
@@ -299,9 +249,10 @@
 }
 
 /** Creates the announcement of a change that keeps what is known of the promotions ordered so far. */
-function createAnnouncement({primary, term, candidate, candidateTerm, mayBePromoting}: GroupRecord): ChangeFields {
+function createAnnouncement({primary, term, candidate, candidateTerm, mayBePromoting, requiredPosition}: GroupRecord): ChangeFields {
 	return {
 		phase: GroupPhase.Announced, primary, term, ...(candidate && {candidate}), ...(candidateTerm !== undefined && {candidateTerm}), ...(mayBePromoting && {mayBePromoting}),
+		...(requiredPosition && {requiredPosition}),
 	};
 }
 
--- a/packages/direct/src/process/promotion-context.ts
+++ b/packages/direct/src/process/promotion-context.ts
@@ -35,8 +35,10 @@
 	holdsLease(): boolean;
 	/** Whether the store responds to this host. */
 	isStoreAvailable(): boolean;
-	/** Reads the records of the fleet; returns whether the store responded. */
+	/** Reads the records of the fleet and the configuration; returns whether the store responded. */
 	readFleet(): Promise<boolean>;
+	/** Reads the entries of the instances; returns whether the store responded. */
+	readInstances(): Promise<boolean>;
 	/**
 	 * Waits until no follower of this host uses a primary that is being replaced.
 	 *
--- a/packages/direct/src/process/promotion-coordinator.ts
+++ b/packages/direct/src/process/promotion-coordinator.ts
@@ -1,12 +1,13 @@
 import {getEra} from '@tarragonstack/core/adapters/store-revision';
 import {isMajority} from '../request/majority.js';
 import {isSuspicious, type PrimaryObservation} from '../request/suspicion.js';
+import {ChangeReason} from './change-reason.js';
 import {GroupActions} from './group-actions.js';
 import {GroupPhase, type GroupRecord, type VersionedGroupRecord} from './group-record.js';
 import {GroupRecordCreator} from './group-record-creator.js';
 import {type InstanceGroupState} from './instance-group-state.js';
 import {authorityMilliseconds} from './primary-authority.js';
-import {ChangeReason, PrimaryChange, promotionTimeoutMilliseconds} from './primary-change.js';
+import {PrimaryChange, promotionTimeoutMilliseconds} from './primary-change.js';
 import {PromoterRole, takeoverStaggerMilliseconds} from './promoter-role.js';
 import {type PromoterRecord} from './promoter-record.js';
 import {pollIntervalMilliseconds, type PromotionContext} from './promotion-context.js';
--- a/packages/direct/src/request/candidate-choice.ts
+++ b/packages/direct/src/request/candidate-choice.ts
@@ -31,8 +31,10 @@
 	readonly isUnknownOrderPending: boolean;
 	/** Number of instances that may be promoted, including those without a report. */
 	readonly instances: number;
-	/** Number of reports that are needed for the most advanced instance to hold every commit that must survive. */
-	readonly quorum: number;
+	/** Whether no acknowledged commit may be lost. */
+	readonly isSynchronous: boolean;
+	/** Position that covers every acknowledged commit, or `undefined` if none is known. Used only if `isSynchronous`. */
+	readonly requiredPosition?: LogPosition | undefined;
 };
 
 /** Instance to be promoted. */
@@ -51,29 +53,25 @@
  * While an earlier order may take effect, only the instance of that order is eligible: if hosts used another one, the order
  * would replace it behind their backs. Otherwise, the instance that leads the latest term is preferred, then the one with the
  * highest log position. Instances that are not about to stop go first; those that stop too soon to be replaced in time are
- * not eligible.
+ * not eligible. If no acknowledged commit may be lost, nor is a replica that has not received the required position.
  *
  * @param allReports - Reports of the instances that responded.
  * @param situation - State of the change.
  * @returns The choice, or `undefined` if no instance is eligible at present.
  */
 export function chooseCandidate(allReports: readonly CandidateReport[], situation: CandidateSituation): CandidateChoice | undefined {
-	const {ordered, isOrderPending, isUnknownOrderPending, quorum} = situation;
+	const {ordered, isOrderPending, isUnknownOrderPending} = situation;
 	if (isUnknownOrderPending) {
 		return undefined;
 	}
 
-	const reports = allReports.filter(({leavingMilliseconds = 0}) => leavingMilliseconds <= maximumLeavingMilliseconds);
+	const reports = allReports.filter(report => (report.leavingMilliseconds ?? 0) <= maximumLeavingMilliseconds && isComplete(report, situation));
 
 	if (isOrderPending) {
 		const report = reports.find(({id}) => id === ordered);
 		return report && createChoice(report, allReports, situation);
 	}
 
-	if (allReports.length < quorum) {
-		return undefined;
-	}
-
 	const [best] = reports.toSorted((left, right) => Number(left.leavingMilliseconds !== undefined) - Number(right.leavingMilliseconds !== undefined)
 		|| getLedTerm(right, situation) - getLedTerm(left, situation)
 		|| compareLogPositions(right.received, left.received));
@@ -89,6 +87,13 @@
 	return ledTerm === 0 || isLatestLead ? {id} : {id, fromTerm: ledTerm};
 }
 
+/** Returns whether the promotion of an instance loses no commit that must survive. An instance that leads already was chosen as complete. */
+function isComplete(report: CandidateReport, situation: CandidateSituation): boolean {
+	const {isSynchronous, requiredPosition} = situation;
+	return !isSynchronous || getLedTerm(report, situation) > 0
+		|| (requiredPosition !== undefined && compareLogPositions(report.received, requiredPosition) >= 0);
+}
+
 /** Returns the term that an instance leads, or 0 if it was not promoted during the change. */
 function getLedTerm({isPrimary, term}: CandidateReport, situation: CandidateSituation): number {
 	return isPrimary && term > situation.term ? term : 0;
--- a/packages/direct/tests/fleet/fake-group.ts
+++ b/packages/direct/tests/fleet/fake-group.ts
@@ -32,7 +32,7 @@
 
 /** Simulated instance with a log, a role and a term. */
 export class FakeInstance {
-	readonly entry: InstanceEntry;
+	entry: InstanceEntry;
 	role: InstanceRole;
 	term = 1;
 	log: LogPosition[] = [];
@@ -60,6 +60,12 @@
 		return this.log.at(-1) ?? {term: 0, index: 0};
 	}
 
+	/** Receives all that a leader has, and loses what the leader lacks. A replica that receives nothing only loses. */
+	follow(leader: FakeInstance): void {
+		this.log = this.receivesCommits ? [...leader.log] : this.log.filter(position => leader.holds(position));
+		this.term = leader.term;
+	}
+
 	/** Returns whether the log contains a position. The positions of a log increase. */
 	holds(position: LogPosition): boolean {
 		const held = this.log.findLast(candidate => compareLogPositions(candidate, position) <= 0);
@@ -74,8 +80,10 @@
 	/** Statements that ran, by identifier. */
 	readonly runs: FakeRun[] = [];
 	promotedAt: number[] = [];
+	/** Number of replicas that must hold a commit before the primary responds to it. */
+	synchronousReplicas = 0;
 	/** Promotions that took effect. */
-	readonly promotions: Array<{readonly instance: string; readonly term: number; readonly at: number}> = [];
+	readonly promotions: Array<{readonly instance: string; readonly term: number; readonly at: number; readonly log: readonly LogPosition[]}> = [];
 	readonly #timer: TimerService;
 
 	constructor(timer: TimerService, group: string, zones: readonly string[]) {
@@ -106,16 +114,20 @@
 			instance.term = Math.max(...this.instances.map(({term}) => term)) + 1;
 			instance.role = InstanceRole.Primary;
 			this.promotedAt.push(this.#timer.now());
-			this.promotions.push({instance: id, term: instance.term, at: this.#timer.now()});
+			this.promotions.push({instance: id, term: instance.term, at: this.#timer.now(), log: [...instance.log]});
 			for (const other of this.instances) {
 				if (other !== instance && other.role === InstanceRole.Replica) {
-					other.log = [...instance.log];
-					other.term = instance.term;
+					other.follow(instance);
 				}
 			}
 		});
 	}
 
+	/** Returns whether enough replicas hold a commit for the primary to respond to it. */
+	isDurable(position: LogPosition): boolean {
+		return this.instances.filter(({role, log, isDown}) => role === InstanceRole.Replica && !isDown && log.some(held => compareLogPositions(held, position) === 0)).length >= this.synchronousReplicas;
+	}
+
 	/** Commits on a primary and replicates the commit. */
 	commit(primary: FakeInstance, identifier: string): LogPosition {
 		const previous = primary.position;
@@ -123,7 +135,7 @@
 		primary.log.push(position);
 		this.commits.push({position, instance: primary.entry.id, at: this.#timer.now(), identifier});
 		for (const replica of this.instances) {
-			if (replica.role === InstanceRole.Replica && replica.receivesCommits && replica.term <= primary.term) {
+			if (replica.role === InstanceRole.Replica && replica.receivesCommits && !replica.isDown && replica.term <= primary.term) {
 				// Logs that end with the same position are the same.
 				if (compareLogPositions(replica.position, previous) === 0) {
 					replica.log.push(position);
@@ -158,6 +170,7 @@
 	readonly #prepared = new Map<string, boolean>();
 	#status = TransactionStatus.Idle;
 	#writes: string[] = [];
+	#hasCommitted = false;
 
 	constructor(instance: FakeInstance, group: FakeGroup, host: string, timer: TimerService, workspace?: string) {
 		this.#workspace = workspace;
@@ -191,6 +204,12 @@
 		}
 
 		await this.#timer.sleep(2 + (batch.some(entry => 'statement' in entry) ? this.#instance.serviceMilliseconds : 0));
+		const {position} = this.#instance;
+		while (!this.closed && this.#hasCommitted && !this.#group.isDurable(position)) {
+			await this.#timer.sleep(5);
+		}
+
+		this.#hasCommitted = false;
 		if (this.closed) {
 			return err({failure: ChannelFailure.Broken, message: 'closed'});
 		}
@@ -304,17 +323,22 @@
 			this.#writes = [];
 			this.#status = TransactionStatus.Idle;
 			if (pending.length > 0) {
-				this.#group.commit(this.#instance, identifier);
+				this.#commit(identifier);
 			}
 		} else if (writes && this.#status === TransactionStatus.InTransaction) {
 			this.#writes.push(identifier);
 		} else if (writes) {
-			this.#group.commit(this.#instance, identifier);
+			this.#commit(identifier);
 		}
 
 		return {...this.#succeed(), completion: `proof-${identifier}`, rows: kind === StatementKind.Read ? [String(this.#instance.position.index)] : []};
 	}
 
+	#commit(identifier: string): void {
+		this.#group.commit(this.#instance, identifier);
+		this.#hasCommitted = true;
+	}
+
 	#succeed(): StatementResult {
 		return {rows: [], completion: '-', status: this.#status, position: this.#instance.position};
 	}
--- a/packages/direct/tests/request/candidate-choice.test.ts
+++ b/packages/direct/tests/request/candidate-choice.test.ts
@@ -6,7 +6,8 @@
 const advanced: CandidateReport = {...second, received: {term: 1, index: 11}};
 const leading: CandidateReport = {...first, isPrimary: true, term: 2};
 const leadingLater: CandidateReport = {...second, isPrimary: true, term: 3};
-const calm: CandidateSituation = {term: 1, isOrderPending: false, isUnknownOrderPending: false, instances: 2, quorum: 1};
+const calm: CandidateSituation = {term: 1, isOrderPending: false, isUnknownOrderPending: false, instances: 2, isSynchronous: false};
+const synchronous: CandidateSituation = {...calm, isSynchronous: true, requiredPosition: advanced.received};
 const pending: CandidateSituation = {...calm, ordered: 'first', isOrderPending: true};
 
 describe('chooseCandidate', () => {
@@ -16,7 +17,12 @@
 		{name: 'none that has been leaving for too long', reports: [{...first, leavingMilliseconds: 4501}], situation: calm, expected: undefined},
 		{name: 'none that has been leaving for too long, although it was ordered', reports: [{...leading, leavingMilliseconds: 4501}, advanced], situation: pending, expected: undefined},
 		{name: 'one that stays rather than the most advanced one', reports: [first, {...advanced, leavingMilliseconds: 100}], situation: calm, expected: {id: 'first'}},
-		{name: 'none without a quorum', reports: [first], situation: {...calm, quorum: 2}, expected: undefined},
+		{name: 'none while no position is known that covers the acknowledged commits', reports: [first, advanced], situation: {...calm, isSynchronous: true}, expected: undefined},
+		{name: 'none that lacks the required position', reports: [first], situation: synchronous, expected: undefined},
+		{name: 'one that leaves if only it has the required position', reports: [first, {...advanced, leavingMilliseconds: 100}], situation: synchronous, expected: {id: 'second'}},
+		{name: 'none if only one that has been leaving for too long has the required position', reports: [first, {...advanced, leavingMilliseconds: 4501}], situation: synchronous, expected: undefined},
+		{name: 'none while the ordered one has lost its log', reports: [first, advanced], situation: {...pending, ...synchronous, ordered: 'first', isOrderPending: true}, expected: undefined},
+		{name: 'one that leads already, as it was chosen with the required position', reports: [leading, {...advanced, term: 3}], situation: synchronous, expected: {id: 'first', fromTerm: 2}},
 		{name: 'none without reports', reports: [], situation: calm, expected: undefined},
 		{name: 'the ordered one while its promotion may take effect', reports: [first, advanced], situation: pending, expected: {id: 'first'}},
 		{name: 'none while the ordered one does not respond', reports: [advanced], situation: pending, expected: undefined},
