Count the promotion quorum over all instances that may hold acknowledged commits

What callers saw: with sync_replicas 1, a replica that had received nothing for a while was promoted after the replica that had received every commit was lost for good, and the primary after it. Cause: the number of reports that a promotion needs was counted over the instances that the promoter had in its memory at that moment. An instance left this memory 3 s after its entry was removed, was unknown to hosts that started later, and was taken for the same one when it started again without its log. The promoter logs instance-gone of i-r1, then chooses i-r2 on its report alone. Change: the record of a group lists the processes that may hold acknowledged commits (synchronousSet). The promoter adds each instance that joins; a process that has left is removed only after enough of the others were seen at a position that the primary had after the loss. The record keeps the set through changes, other promoters and restorations of the store. With sync_replicas 0 there is no set, and no further call to the store. Why it works: each acknowledged commit is held by sync_replicas members besides the primary, so the newest of members - sync_replicas + 1 reports has them all, whoever counts. A promotion that is possible isn't held back for good, as the set shrinks while the primary serves, and a primary that returns with its log is used again. Cost: one conditional write for each instance that joins or leaves; the comparison takes three rounds of status requests and no call to the store. The alternatives: a count that the configuration names (no write, but a lost replica blocks for good, and a new one isn't covered), and waiting for the newest instance (no write, but nobody knows which one it is once the primary is lost). Tests: synchronous-replicas.test.ts, six more cases that failed before ('has lost its entry', 'loses its entry during the change', 'starts again without its log', 'the hosts start after', 'a lost primary that returns with its log', 'restoration of the store').

--- a/packages/direct/src/process/candidate-search.ts
+++ b/packages/direct/src/process/candidate-search.ts
@@ -115,7 +115,7 @@
 	}
 
 	get #isSynchronous(): boolean {
-		return this.#group.synchronousSet !== undefined;
+		return this.#group.getSynchronousSet(this.#announced.synchronousSet) !== undefined;
 	}
 
 	get #releasedPrimary(): KnownInstance | undefined {
@@ -168,8 +168,8 @@
 	}
 
 	#findRequiredPosition(reports: readonly ProcessReport[]): PositionRequirement {
-		const {primary, term, requiredPosition} = this.#announced;
-		const set = this.#group.synchronousSet;
+		const {primary, term, synchronousSet, requiredPosition} = this.#announced;
+		const set = this.#group.getSynchronousSet(synchronousSet);
 		const status = this.#primaryStatus;
 		return set
 			? findRequiredPosition({
--- a/packages/direct/src/process/group-record-creator.ts
+++ b/packages/direct/src/process/group-record-creator.ts
@@ -102,10 +102,10 @@
 			return;
 		}
 
-		const {phase, primary, term, candidate, candidateTerm, changeIdentifier, requiredPosition} = former;
+		const {phase, primary, term, candidate, candidateTerm, changeIdentifier, synchronousSet, requiredPosition} = former;
 		void this.#createRecord(group, {
 			phase, primary, term, changeIdentifier, ...(candidate && {candidate}), ...(candidateTerm && {candidateTerm}), ...(isSettled ? {reign: getReign(former)} : {mayBePromoting: true}),
-			...(requiredPosition && {requiredPosition}),
+			...(synchronousSet && {synchronousSet}), ...(requiredPosition && {requiredPosition}),
 		});
 	}
 
@@ -127,10 +127,12 @@
 				return;
 			}
 
+			// An older set may lack instances that have joined since, but none that has left is known to be needless.
+			const set = {changeIdentifier: loadCrypto().randomUUID(), ...(former?.synchronousSet && {synchronousSet: former.synchronousSet})};
 			await this.#commitFirstRecord(group, era, primary === undefined
 				// No host uses an instance until one has been promoted in a later term than all that responded.
-				? {phase: GroupPhase.Announced, primary: former?.primary ?? '', term, changeIdentifier: loadCrypto().randomUUID(), mayBePromoting: true}
-				: {phase: GroupPhase.Settled, primary, term, changeIdentifier: loadCrypto().randomUUID()});
+				? {phase: GroupPhase.Announced, primary: former?.primary ?? '', term, mayBePromoting: true, ...set}
+				: {phase: GroupPhase.Settled, primary, term, ...set});
 		});
 	}
 
--- a/packages/direct/src/process/group-record.ts
+++ b/packages/direct/src/process/group-record.ts
@@ -1,5 +1,6 @@
 import {type LogPosition} from '@tarragonstack/core/request/log-position';
 import {err, ok, type Result} from 'neverthrow';
+import {type SynchronousSet} from '../request/synchronous-set.js';
 
 /** Phases of a change of the primary. */
 export enum GroupPhase {
@@ -32,6 +33,8 @@
 	readonly reign?: number;
 	/** Whether an earlier record of the change, which the store has lost, may have led to a promotion order. */
 	readonly mayBePromoting?: boolean;
+	/** Processes that may hold acknowledged commits; absent if a promotion may lose commits. */
+	readonly synchronousSet?: SynchronousSet | undefined;
 	/** Position that covers every commit acknowledged before the present change, once it has been established. */
 	readonly requiredPosition?: LogPosition | undefined;
 };
--- a/packages/direct/src/process/index.ts
+++ b/packages/direct/src/process/index.ts
@@ -2,6 +2,7 @@
 export * from './candidate-search.js';
 export * from './change-reason.js';
 export * from './commit-group-record.js';
+export * from './synchronous-set-keeper.js';
 export * from './confirmation-wait.js';
 export * from './continuous-store.js';
 export * from './direct-host.js';
--- a/packages/direct/src/process/instance-group-state.ts
+++ b/packages/direct/src/process/instance-group-state.ts
@@ -1,5 +1,5 @@
 import {MissingReports} from '../request/missing-reports.js';
-import {type InstanceProcess, type SynchronousReplication, type SynchronousSet} from '../request/synchronous-set.js';
+import {extendSynchronousSet, type InstanceProcess, type SynchronousReplication, type SynchronousSet} from '../request/synchronous-set.js';
 import {ClassTimes} from '../request/class-times.js';
 import {type ReplicaLag, type RequiredPosition} from '../request/replica-lag.js';
 import {PrimaryPositionHistory, type SessionWritePosition} from '../request/primary-position-history.js';
@@ -72,9 +72,9 @@
 		return [...this.instances.values()].map(({pool: {instance: {id, startedAt}}}) => ({id, startedAt}));
 	}
 
-	/** Processes that may hold acknowledged commits, or `undefined` if a promotion may lose commits. */
-	get synchronousSet(): SynchronousSet | undefined {
-		return this.replication.synchronousReplicas === 0 ? undefined : {...this.replication, members: this.processes};
+	/** Returns the synchronous set of a record with all instances in use, or `undefined` if a promotion may lose commits. */
+	getSynchronousSet(recorded: SynchronousSet | undefined): SynchronousSet | undefined {
+		return recorded === undefined && this.replication.synchronousReplicas === 0 ? undefined : extendSynchronousSet(recorded, this.replication, this.processes);
 	}
 
 	/** Newest known record of the group, or `undefined` if there is none. */
--- a/packages/direct/src/process/primary-change.ts
+++ b/packages/direct/src/process/primary-change.ts
@@ -29,7 +29,7 @@
 export const orderEffectMilliseconds = maximumOrderDelayMilliseconds + promotionTimeoutMilliseconds;
 
 /** Fields of a group's record that an attempt changes. */
-type ChangeFields = Pick<GroupRecord, 'phase' | 'primary' | 'candidate' | 'candidateTerm' | 'term' | 'mayBePromoting' | 'requiredPosition'>;
+type ChangeFields = Pick<GroupRecord, 'phase' | 'primary' | 'candidate' | 'candidateTerm' | 'term' | 'mayBePromoting' | 'synchronousSet' | 'requiredPosition'>;
 
 /** Attempt to replace the primary of a group. */
 export class PrimaryChange {
@@ -100,7 +100,7 @@
 	async #promote(announced: VersionedGroupRecord, earlierOrders: EarlierOrders): Promise<void> {
 		const {log, timer, readInstances} = this.#context;
 		// An instance that joined shortly before the release may hold the only copy of an acknowledged commit.
-		if (this.#group.synchronousSet && !(await readInstances())) {
+		if (this.#group.getSynchronousSet(announced.synchronousSet) && !(await readInstances())) {
 			log.write('change-stalled', {group: this.#group.name, reason: 'the store does not respond'});
 			return;
 		}
@@ -129,7 +129,7 @@
 			return;
 		}
 
-		const settled = await this.#commitRecord(record, {phase: GroupPhase.Settled, primary: id, term: status.term});
+		const settled = await this.#commitRecord(record, {phase: GroupPhase.Settled, primary: id, term: status.term, ...this.#getSet(record)});
 		log.write('change-settled', {
 			group: this.#group.name, primary: id, term: status.term, known: settled !== undefined, durationMilliseconds: Math.round(timer.now() - this.#startedAt),
 		});
@@ -143,7 +143,7 @@
 	async #giveUp(announced: VersionedGroupRecord, reason: string): Promise<void> {
 		const {primary, term} = announced;
 		this.#context.log.write('change-given-up', {group: this.#group.name, primary, reason});
-		await this.#commitRecord(announced, {phase: GroupPhase.Settled, primary, term});
+		await this.#commitRecord(announced, {phase: GroupPhase.Settled, primary, term, ...this.#getSet(announced)});
 	}
 
 	/** Records the required position for later attempts, in which the instances that reported it may be gone. */
@@ -154,6 +154,11 @@
 		}
 	}
 
+	#getSet({synchronousSet}: GroupRecord): Pick<GroupRecord, 'synchronousSet'> {
+		const set = this.#group.getSynchronousSet(synchronousSet);
+		return set ? {synchronousSet: set} : {};
+	}
+
 	/** Orders the promotion. Returns the answer, or `undefined` if nothing was ordered. */
 	async #orderPromotion(
 		announced: VersionedGroupRecord,
@@ -167,7 +172,7 @@
 		const {primary, term} = announced;
 		const ordered = await this.#commitRecord(announced, {
 			phase: GroupPhase.Promoting, primary, candidate: instance, term, ...(fromTerm !== undefined && {candidateTerm: fromTerm}),
-			...(requiredPosition && {requiredPosition}),
+			...this.#getSet(announced), ...(requiredPosition && {requiredPosition}),
 		});
 		if (!ordered) {
 			return undefined;
@@ -249,10 +254,10 @@
 }
 
 /** Creates the announcement of a change that keeps what is known of the promotions ordered so far. */
-function createAnnouncement({primary, term, candidate, candidateTerm, mayBePromoting, requiredPosition}: GroupRecord): ChangeFields {
+function createAnnouncement({primary, term, candidate, candidateTerm, mayBePromoting, synchronousSet, requiredPosition}: GroupRecord): ChangeFields {
 	return {
 		phase: GroupPhase.Announced, primary, term, ...(candidate && {candidate}), ...(candidateTerm !== undefined && {candidateTerm}), ...(mayBePromoting && {mayBePromoting}),
-		...(requiredPosition && {requiredPosition}),
+		...(synchronousSet && {synchronousSet}), ...(requiredPosition && {requiredPosition}),
 	};
 }
 
--- a/packages/direct/src/process/promotion-coordinator.ts
+++ b/packages/direct/src/process/promotion-coordinator.ts
@@ -11,6 +11,7 @@
 import {PromoterRole, takeoverStaggerMilliseconds} from './promoter-role.js';
 import {type PromoterRecord} from './promoter-record.js';
 import {pollIntervalMilliseconds, type PromotionContext} from './promotion-context.js';
+import {SynchronousSetKeeper} from './synchronous-set-keeper.js';
 
 /**
  * Time for which a host waits for the promoter to start a required change before it takes over the role, in milliseconds.
@@ -61,6 +62,7 @@
 	readonly #actions: GroupActions;
 	readonly #role: PromoterRole;
 	readonly #creator: GroupRecordCreator;
+	readonly #setKeeper: SynchronousSetKeeper;
 	/** Groups whose primary connections are being closed to confirm a change. */
 	readonly #closing = new Set<string>();
 	/** Monotonic times since which the primary has been unknown, that is, not in `group.instances`; by group. */
@@ -74,6 +76,7 @@
 		this.#actions = new GroupActions(context.timer);
 		this.#role = new PromoterRole(context);
 		this.#creator = new GroupRecordCreator(context, this.#actions, this.#role);
+		this.#setKeeper = new SynchronousSetKeeper(context, this.#actions, this.#role);
 	}
 
 	/** Whether this host is making a change or creating a record. */
@@ -110,6 +113,7 @@
 			this.#changePrimaryIfDue(group, record);
 		} else {
 			this.#actions.cancelDelay(group.name);
+			this.#keepSynchronousSet(group, record);
 		}
 	}
 
@@ -210,6 +214,18 @@
 		}
 	}
 
+	#keepSynchronousSet(group: InstanceGroupState, record: VersionedGroupRecord): void {
+		const {isStoreAvailable, holdsLease, registration} = this.#context;
+		if (!this.#setKeeper.isDue(group, record) || !isStoreAvailable() || !registration.isRegistered || !holdsLease()) {
+			return;
+		}
+
+		const {promoterRecord, isPromoterGone, delayMilliseconds} = this.#getResponsibility(record);
+		if (promoterRecord ?? isPromoterGone) {
+			this.#setKeeper.keep(group, record, delayMilliseconds);
+		}
+	}
+
 	#getReason(group: InstanceGroupState, record: GroupRecord): ChangeReason {
 		if (this.#isLeaving(group, record) && !this.#isLost(group)) {
 			return ChangeReason.Leaving;
--- /dev/null
+++ b/packages/direct/src/process/synchronous-set-keeper.ts
@@ -0,0 +1,113 @@
+import {type LogPosition} from '@tarragonstack/core/request/log-position';
+import {getObsoleteMembers, mayForgetObsoleteMembers, type SynchronousSet} from '../request/synchronous-set.js';
+import {commitGroupRecord} from './commit-group-record.js';
+import {GroupActions} from './group-actions.js';
+import {getReign, type VersionedGroupRecord} from './group-record.js';
+import {type InstanceGroupState} from './instance-group-state.js';
+import {readInstanceStatus} from './instance-status.js';
+import {type PromoterRole} from './promoter-role.js';
+import {type PromotionContext} from './promotion-context.js';
+
+/** Delay until the positions are compared again if too few replicas had caught up, in milliseconds. */
+const retryDelayMilliseconds = 250;
+
+/**
+ * Keeps the synchronous set in the record of a group whose primary serves: adds the instances that join, and removes those that
+ * have left once the others hold every commit.
+ *
+ * The set is written only when it changes. Groups without synchronous replicas have none.
+ */
+export class SynchronousSetKeeper {
+	readonly #context: PromotionContext;
+	/** Actions that change the record, which this class shares with changes of the primary. */
+	readonly #actions: GroupActions;
+	/** Comparisons of positions. They may take long, and must not delay a change of the primary. */
+	readonly #comparisons: GroupActions;
+	readonly #role: PromoterRole;
+
+	/**
+	 * @param context - Dependencies.
+	 * @param actions - Actions of this host on groups.
+	 * @param role - Role of the promoter, which this class claims if the promoter is gone.
+	 */
+	constructor(context: PromotionContext, actions: GroupActions, role: PromoterRole) {
+		this.#context = context;
+		this.#actions = actions;
+		this.#comparisons = new GroupActions(context.timer);
+		this.#role = role;
+	}
+
+	/** Returns whether the set of a settled record differs from the instances in use. */
+	isDue(group: InstanceGroupState, record: VersionedGroupRecord): boolean {
+		const set = group.getSynchronousSet(record.synchronousSet);
+		const isDifferent = !isSameSet(set, record.synchronousSet) || (set !== undefined && getObsoleteMembers(set, group.processes).length > 0);
+		if (!isDifferent) {
+			this.#comparisons.cancelDelay(group.name);
+		}
+
+		return isDifferent;
+	}
+
+	/**
+	 * Starts to change the set, after a delay that lets other hosts act first.
+	 *
+	 * @param group - Group with a settled record.
+	 * @param record - Record of the group.
+	 * @param delayMilliseconds - Time for which this host waits for others.
+	 */
+	keep(group: InstanceGroupState, record: VersionedGroupRecord, delayMilliseconds: number): void {
+		if (!this.#comparisons.startOrCheckDelay(group.name, delayMilliseconds)) {
+			return;
+		}
+
+		const set = group.getSynchronousSet(record.synchronousSet);
+		if (!isSameSet(set, record.synchronousSet)) {
+			void this.#actions.runExclusively(group.name, async () => this.#write(group, record, set));
+		} else if (set) {
+			void this.#comparisons.runExclusively(group.name, async () => this.#forgetObsoleteMembers(group, record, set));
+		}
+	}
+
+	async #forgetObsoleteMembers(group: InstanceGroupState, record: VersionedGroupRecord, set: SynchronousSet): Promise<void> {
+		const {timer, dialer, log} = this.#context;
+		const primary = group.instances.get(record.primary);
+		const obsolete = getObsoleteMembers(set, group.processes);
+		const before = await this.#readReplicaPositions(group, record.primary);
+		const status = primary && await readInstanceStatus(primary.pool.instance, dialer, timer);
+		const after = await this.#readReplicaPositions(group, record.primary);
+		if (!status?.isPrimary || !mayForgetObsoleteMembers(set, {before, primary: status.received, after})) {
+			await timer.sleep(retryDelayMilliseconds);
+			return;
+		}
+
+		const members = set.members.filter(member => !obsolete.includes(member));
+		log.write('synchronous-set-reduced', {group: group.name, removed: JSON.stringify(obsolete), members: JSON.stringify(members), position: JSON.stringify(status.received)});
+		await this.#actions.runExclusively(group.name, async () => this.#write(group, record, {...set, members}));
+	}
+
+	async #readReplicaPositions(group: InstanceGroupState, primary: string): Promise<LogPosition[]> {
+		const {timer, dialer} = this.#context;
+		const replicas = [...group.instances.values()].filter(({pool}) => pool.instance.id !== primary);
+		const answers = await Promise.all(replicas.map(async ({pool}) => readInstanceStatus(pool.instance, dialer, timer)));
+		return answers.flatMap(status => status ? [status.received] : []);
+	}
+
+	/** Writes the record with another set, unless the record has changed. */
+	async #write(group: InstanceGroupState, record: VersionedGroupRecord, set: SynchronousSet | undefined): Promise<void> {
+		const {hostName, fleet} = this.#context;
+		const promoterRecord = this.#role.isHeld ? fleet.promoterRecord : await this.#role.claim();
+		if (!promoterRecord) {
+			return;
+		}
+
+		const {revision, learntAt: _, synchronousSet: __, ...fields} = record;
+		await commitGroupRecord(this.#context, group, revision, {
+			...fields, reign: getReign(record), promoter: hostName, fencingToken: promoterRecord.fencingToken, ...(set && {synchronousSet: set}),
+		});
+	}
+}
+
+/** Returns whether two sets have the same members, one of them being the other one with additions. */
+function isSameSet(left: SynchronousSet | undefined, right: SynchronousSet | undefined): boolean {
+	return left?.members.length === right?.members.length && left?.synchronousReplicas === right?.synchronousReplicas;
+}
--- a/packages/direct/tests/fleet/synchronous-replicas.test.ts
+++ b/packages/direct/tests/fleet/synchronous-replicas.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from 'vitest';
+import {Consistency, InstanceRole, StatementKind} from '../../src/index.js';
 import {SynchronousFleet} from './synchronous-fleet.js';
 
 /** Maximum time from the loss of a primary to the promotion of another instance, in milliseconds. The promotion takes 1 s of it. */
@@ -26,6 +27,53 @@
 		},
 		promoted: 'orders-1',
 	},
+	{
+		name: 'the replica that holds them has lost its entry',
+		async play(fleet) {
+			fleet.setDeaf('orders-2', true);
+			await fleet.timer.advance(500);
+			fleet.crash('orders-1');
+			await fleet.timer.advance(forgettingMilliseconds);
+			fleet.crash('orders-0');
+		},
+		promoted: undefined,
+	},
+	{
+		name: 'the replica that holds them loses its entry during the change',
+		async play(fleet) {
+			fleet.setDeaf('orders-2', true);
+			await fleet.timer.advance(500);
+			fleet.crash('orders-1');
+			await fleet.timer.advance(1000);
+			fleet.crash('orders-0');
+			await fleet.timer.advance(forgettingMilliseconds);
+		},
+		promoted: undefined,
+	},
+	{
+		name: 'the replica that holds them starts again without its log',
+		async play(fleet) {
+			fleet.setDeaf('orders-2', true);
+			await fleet.timer.advance(500);
+			fleet.crash('orders-1');
+			fleet.crash('orders-0');
+			fleet.restart('orders-1', false);
+		},
+		promoted: undefined,
+	},
+	{
+		name: 'the hosts start after the replica that holds them has lost its entry',
+		async play(fleet) {
+			fleet.setDeaf('orders-2', true);
+			await fleet.timer.advance(500);
+			fleet.crash('orders-1');
+			await fleet.timer.advance(forgettingMilliseconds);
+			fleet.restartHosts();
+			await fleet.timer.advance(1000);
+			fleet.crash('orders-0');
+		},
+		promoted: undefined,
+	},
 	{
 		name: 'a primary leaves and the replica that holds them does not respond',
 		async play(fleet) {
@@ -92,6 +140,10 @@
 	return {fleet, writers};
 }
 
+async function isWritable(fleet: SynchronousFleet): Promise<boolean> {
+	return (await fleet.run(fleet.openSession(0, Consistency.Primary), StatementKind.Write)).error === undefined;
+}
+
 describe('acknowledged commits of a group with synchronous replicas', () => {
 	// Guards against the promotion of an instance that lacks an acknowledged commit, and against a wait although one holds them all.
 	it.each(losses)('survive if $name', async ({play, promoted}) => {
@@ -107,6 +159,26 @@
 		expect(fleet.group.promotions.map(({instance}) => instance)).toEqual(promoted === undefined ? [] : expect.arrayContaining([promoted]));
 	});
 
+	// Guards against a group that never gets a primary because the one that was lost returns with its log only during the change.
+	it('are served again by a lost primary that returns with its log', async () => {
+		const {fleet, writers} = await startWriting();
+		fleet.setDeaf('orders-2', true);
+		await fleet.timer.advance(500);
+		fleet.crash('orders-1');
+		await fleet.timer.advance(1000);
+		fleet.crash('orders-0');
+		await fleet.timer.advance(10_000);
+		expect(await isWritable(fleet)).toBe(false);
+		fleet.restart('orders-0', true);
+		await fleet.timer.advance(promotionTargetMilliseconds);
+		fleet.setDeaf('orders-2', false);
+		expect(await isWritable(fleet)).toBe(true);
+		writers.stop();
+		await fleet.timer.advance(1500);
+		expect(fleet.getLostCommits(writers.results).slice(0, 3)).toEqual([]);
+		expect(fleet.getLeader()).toBe('orders-0');
+	});
+
 	// Guards against a promotion that is held back because the only complete replica has left, although its log went to a new one.
 	it('are served by the instance that took over the log of a leaving one', async () => {
 		const {fleet, writers} = await startWriting();
@@ -124,6 +196,35 @@
 		expect(fleet.getLostCommits(writers.results).slice(0, 3)).toEqual([]);
 	});
 
+	// Guards against a set that a restored store or another promoter has forgotten.
+	it('survive the restoration of the store from a copy without the members', async () => {
+		const {fleet, writers} = await startWriting();
+		fleet.setDeaf('orders-2', true);
+		await fleet.timer.advance(500);
+		fleet.crash('orders-1');
+		const copy = fleet.state.copy();
+		await fleet.timer.advance(forgettingMilliseconds);
+		for (const {store} of fleet.hosts) {
+			store.isUnavailable = true;
+		}
+
+		fleet.state.restore(copy);
+		fleet.state.remove('instances/orders-1');
+		for (const {store} of fleet.hosts) {
+			store.isUnavailable = false;
+		}
+
+		fleet.reportAll();
+		await fleet.timer.advance(forgettingMilliseconds);
+		expect(fleet.group.get('orders-0').role).toBe(InstanceRole.Primary);
+		fleet.crash('orders-0');
+		await fleet.timer.advance(forgettingMilliseconds);
+		writers.stop();
+		await fleet.timer.advance(1500);
+		expect(fleet.promotions).toEqual([]);
+		expect(fleet.getLostCommits(writers.results)).toEqual([]);
+	});
+
 	// Guards against an explanation that leaves out whose report is missing, and for how long.
 	it('name the missing report in the log while no instance can be promoted', async () => {
 		const {fleet, writers} = await startWriting();
