Forget a lost member as soon as it has neither an entry nor a response

Cause: a member counted as in use for 3 s after its entry was removed, as other parts use the instance for that time. An instance that had left as planned could thus hold back a promotion. Change: a member without an entry that doesn't respond to the promoter is compared at once, with a retry after 50 ms in place of 250. Why it works: the comparison itself proves that the member is needless; the wait added nothing to it. A member that still responds stays. Test: synchronous-replicas.test.ts, 'a replica has just been replaced as planned', failed before.

--- a/packages/direct/src/process/instance-group-state.ts
+++ b/packages/direct/src/process/instance-group-state.ts
@@ -67,14 +67,14 @@
 		return [...this.instances.values()].flatMap(({pool, substitute}) => substitute ? [pool, substitute.pool] : [pool]);
 	}
 
-	/** Processes of the instances. */
-	get processes(): InstanceProcess[] {
-		return [...this.instances.values()].map(({pool: {instance: {id, startedAt}}}) => ({id, startedAt}));
+	/** Processes of the instances that have an entry in the store. */
+	get listedProcesses(): InstanceProcess[] {
+		return [...this.instances.values()].flatMap(({entryMissingSince, pool: {instance: {id, startedAt}}}) => entryMissingSince === undefined ? [{id, startedAt}] : []);
 	}
 
-	/** Returns the synchronous set of a record with all instances in use, or `undefined` if a promotion may lose commits. */
+	/** Returns the synchronous set of a record with all listed instances, or `undefined` if a promotion may lose commits. */
 	getSynchronousSet(recorded: SynchronousSet | undefined): SynchronousSet | undefined {
-		return recorded === undefined && this.replication.synchronousReplicas === 0 ? undefined : extendSynchronousSet(recorded, this.replication, this.processes);
+		return recorded === undefined && this.replication.synchronousReplicas === 0 ? undefined : extendSynchronousSet(recorded, this.replication, this.listedProcesses);
 	}
 
 	/** Newest known record of the group, or `undefined` if there is none. */
--- a/packages/direct/src/process/synchronous-set-keeper.ts
+++ b/packages/direct/src/process/synchronous-set-keeper.ts
@@ -1,5 +1,5 @@
 import {type LogPosition} from '@tarragonstack/core/request/log-position';
-import {getObsoleteMembers, mayForgetObsoleteMembers, type SynchronousSet} from '../request/synchronous-set.js';
+import {getUnlistedMembers, mayForgetLostMembers, type SynchronousSet} from '../request/synchronous-set.js';
 import {commitGroupRecord} from './commit-group-record.js';
 import {GroupActions} from './group-actions.js';
 import {getReign, type VersionedGroupRecord} from './group-record.js';
@@ -9,11 +9,11 @@
 import {type PromotionContext} from './promotion-context.js';
 
 /** Delay until the positions are compared again if too few replicas had caught up, in milliseconds. */
-const retryDelayMilliseconds = 250;
+const retryDelayMilliseconds = 50;
 
 /**
  * Keeps the synchronous set in the record of a group whose primary serves: adds the instances that join, and removes those that
- * have left once the others hold every commit.
+ * are lost once the others hold every commit.
  *
  * The set is written only when it changes. Groups without synchronous replicas have none.
  */
@@ -37,10 +37,10 @@
 		this.#role = role;
 	}
 
-	/** Returns whether the set of a settled record differs from the instances in use. */
+	/** Returns whether the set of a settled record differs from the listed instances. */
 	isDue(group: InstanceGroupState, record: VersionedGroupRecord): boolean {
 		const set = group.getSynchronousSet(record.synchronousSet);
-		const isDifferent = !isSameSet(set, record.synchronousSet) || (set !== undefined && getObsoleteMembers(set, group.processes).length > 0);
+		const isDifferent = !isSameSet(set, record.synchronousSet) || (set !== undefined && getUnlistedMembers(set, group.listedProcesses).length > 0);
 		if (!isDifferent) {
 			this.#comparisons.cancelDelay(group.name);
 		}
@@ -64,32 +64,44 @@
 		if (!isSameSet(set, record.synchronousSet)) {
 			void this.#actions.runExclusively(group.name, async () => this.#write(group, record, set));
 		} else if (set) {
-			void this.#comparisons.runExclusively(group.name, async () => this.#forgetObsoleteMembers(group, record, set));
+			void this.#comparisons.runExclusively(group.name, async () => this.#forgetLostMembers(group, record, set));
 		}
 	}
 
-	async #forgetObsoleteMembers(group: InstanceGroupState, record: VersionedGroupRecord, set: SynchronousSet): Promise<void> {
-		const {timer, dialer, log} = this.#context;
-		const primary = group.instances.get(record.primary);
-		const obsolete = getObsoleteMembers(set, group.processes);
-		const before = await this.#readReplicaPositions(group, record.primary);
-		const status = primary && await readInstanceStatus(primary.pool.instance, dialer, timer);
-		const after = await this.#readReplicaPositions(group, record.primary);
-		if (!status?.isPrimary || !mayForgetObsoleteMembers(set, {before, primary: status.received, after})) {
+	/** Removes the members that have neither an entry nor a response to this host, if they are needless. */
+	async #forgetLostMembers(group: InstanceGroupState, record: VersionedGroupRecord, set: SynchronousSet): Promise<void> {
+		const {timer, log} = this.#context;
+		const unlisted = getUnlistedMembers(set, group.listedProcesses);
+		const before = await this.#readPositions(group);
+		const lost = unlisted.filter(({id, startedAt}) => group.instances.get(id)?.pool.instance.startedAt !== startedAt || !before.has(id));
+		const primaryPositions = await this.#readPositions(group, record.primary);
+		const primary = primaryPositions.get(record.primary);
+		const after = await this.#readPositions(group);
+		const replicas = group.listedProcesses.map(({id}) => id).filter(id => id !== record.primary);
+		const isNeedless = lost.length > 0 && primary !== undefined && mayForgetLostMembers(set, {
+			primary, before: replicas.flatMap(id => before.get(id) ?? []), after: replicas.flatMap(id => after.get(id) ?? []),
+		});
+		if (!isNeedless) {
 			await timer.sleep(retryDelayMilliseconds);
 			return;
 		}
 
-		const members = set.members.filter(member => !obsolete.includes(member));
-		log.write('synchronous-set-reduced', {group: group.name, removed: JSON.stringify(obsolete), members: JSON.stringify(members), position: JSON.stringify(status.received)});
+		const members = set.members.filter(member => !lost.includes(member));
+		log.write('synchronous-set-reduced', {group: group.name, removed: JSON.stringify(lost), members: JSON.stringify(members), position: JSON.stringify(primary)});
 		await this.#actions.runExclusively(group.name, async () => this.#write(group, record, {...set, members}));
 	}
 
-	async #readReplicaPositions(group: InstanceGroupState, primary: string): Promise<LogPosition[]> {
+	/**
+	 * Reads the log positions of the instances that respond.
+	 *
+	 * @param group - Group of the instances.
+	 * @param primary - Only instance to read, which must be a primary; all instances if it is absent.
+	 */
+	async #readPositions(group: InstanceGroupState, primary?: string): Promise<ReadonlyMap<string, LogPosition>> {
 		const {timer, dialer} = this.#context;
-		const replicas = [...group.instances.values()].filter(({pool}) => pool.instance.id !== primary);
-		const answers = await Promise.all(replicas.map(async ({pool}) => readInstanceStatus(pool.instance, dialer, timer)));
-		return answers.flatMap(status => status ? [status.received] : []);
+		const selected = [...group.instances].filter(([id]) => primary === undefined || id === primary);
+		const answers = await Promise.all(selected.map(async ([id, {pool}]) => ({id, status: await readInstanceStatus(pool.instance, dialer, timer)})));
+		return new Map(answers.flatMap(({id, status}): Array<[string, LogPosition]> => status && (primary === undefined || status.isPrimary) ? [[id, status.received]] : []));
 	}
 
 	/** Writes the record with another set, unless the record has changed. */
--- a/packages/direct/src/request/synchronous-set.ts
+++ b/packages/direct/src/request/synchronous-set.ts
@@ -37,7 +37,7 @@
  *
  * @param recorded - Set of the group's record, or `undefined` if it has none.
  * @param configured - What the configuration of this host states.
- * @param listed - Processes that are in use.
+ * @param listed - Processes that have an entry in the store.
  * @returns The set, or `undefined` if a promotion may lose commits.
  */
 export function extendSynchronousSet(
@@ -58,25 +58,25 @@
 	};
 }
 
-/** Returns the members that are no longer in use. */
-export function getObsoleteMembers({members}: SynchronousSet, listed: readonly InstanceProcess[]): InstanceProcess[] {
+/** Returns the members that have no entry in the store. */
+export function getUnlistedMembers({members}: SynchronousSet, listed: readonly InstanceProcess[]): InstanceProcess[] {
 	return members.filter(member => !listed.some(process => isSameProcess(member, process)));
 }
 
 /** Positions that were reported after members had been lost. */
 export type LossEvidence = {
-	/** Positions of the replicas in use before the primary reported its position. */
+	/** Positions of the replicas before the primary reported its position. */
 	readonly before: readonly LogPosition[];
 	readonly primary: LogPosition;
-	/** Positions of the replicas in use after the primary had reported its position. */
+	/** Positions of the replicas after the primary had reported its position. */
 	readonly after: readonly LogPosition[];
 };
 
 /**
- * Returns whether the members that are no longer in use are needless: enough of the others have received every commit that the
- * primary had after the loss of these members.
+ * Returns whether members that are lost are needless: enough of the others have received every commit that the primary had after
+ * the loss.
  */
-export function mayForgetObsoleteMembers({synchronousReplicas}: SynchronousSet, {before, primary, after}: LossEvidence): boolean {
+export function mayForgetLostMembers({synchronousReplicas}: SynchronousSet, {before, primary, after}: LossEvidence): boolean {
 	// A primary that is behind its replicas has lost its log.
 	return before.every(position => compareLogPositions(position, primary) <= 0)
 		&& after.filter(position => compareLogPositions(position, primary) >= 0).length >= synchronousReplicas;
--- a/packages/direct/tests/fleet/synchronous-replicas.test.ts
+++ b/packages/direct/tests/fleet/synchronous-replicas.test.ts
@@ -105,6 +105,17 @@
 		},
 		promoted: 'orders-2',
 	},
+	{
+		name: 'a replica has just been replaced as planned',
+		async play(fleet) {
+			fleet.drain('orders-1');
+			await fleet.timer.advance(7000);
+			fleet.replace('orders-1', true);
+			await fleet.timer.advance(700);
+			fleet.crash('orders-0');
+		},
+		promoted: 'orders-2',
+	},
 	{
 		name: 'a replica joined after another one was lost',
 		async play(fleet) {
