Use the instance that took over the log and the lead of a lost primary

Cause: such an instance has a new identifier and leads the same term. The choice took it for a replica, its report didn't count as that of the released primary, and the attempt waited for a later term that an accepted order doesn't begin. Evidence: change-stalled named two processes that are gone for good, beside the report of an instance with isPrimary and the term of the record. Change: an instance that leads the term of the released primary goes before replicas, and its position counts as the primary's. If no promotion has been ordered, the record is settled on it at once; otherwise it is ordered, and is the primary once the order has left its term unchanged. Why it works: a term has one leader, so only the released primary's successor can lead it. Tests: synchronous-replicas.test.ts, 'the instance that took over the lead', and candidate-choice.test.ts, 'took over the lead of the released primary'; both failed before.

--- a/packages/direct/src/process/candidate-search.ts
+++ b/packages/direct/src/process/candidate-search.ts
@@ -170,13 +170,9 @@
 	#findRequiredPosition(reports: readonly ProcessReport[]): PositionRequirement {
 		const {primary, term, synchronousSet, requiredPosition} = this.#announced;
 		const set = this.#group.getSynchronousSet(synchronousSet);
-		const status = this.#primaryStatus;
-		return set
-			? findRequiredPosition({
-				set, primary, reports, established: requiredPosition,
-				primaryPosition: status?.isPrimary && status.term >= term ? status.received : undefined,
-			})
-			: {missing: []};
+		// A new instance that took over the log of the released primary leads the same term.
+		const leader = [this.#primaryStatus, ...reports].find(status => status?.isPrimary && (status.term === term || term === 0));
+		return set ? findRequiredPosition({set, primary, reports, established: requiredPosition, primaryPosition: leader?.received}) : {missing: []};
 	}
 
 	/** Returns whether the chosen replica holds all commits of a primary that still responds. */
--- a/packages/direct/src/process/primary-change.ts
+++ b/packages/direct/src/process/primary-change.ts
@@ -98,7 +98,7 @@
 	}
 
 	async #promote(announced: VersionedGroupRecord, earlierOrders: EarlierOrders): Promise<void> {
-		const {log, timer, readInstances} = this.#context;
+		const {log, readInstances} = this.#context;
 		// An instance that joined shortly before the release may hold the only copy of an acknowledged commit.
 		if (this.#group.getSynchronousSet(announced.synchronousSet) && !(await readInstances())) {
 			log.write('change-stalled', {group: this.#group.name, reason: 'the store does not respond'});
@@ -116,6 +116,16 @@
 			return;
 		}
 
+		// No other instance can lead a later term if no promotion has been ordered.
+		if (candidate.fromTerm === announced.term && announced.candidate === undefined && !announced.mayBePromoting) {
+			await this.#settle(announced, candidate.known.pool.instance.id, announced.term);
+			return;
+		}
+
+		await this.#promoteCandidate(announced, candidate, requiredPosition);
+	}
+
+	async #promoteCandidate(announced: VersionedGroupRecord, candidate: Candidate, requiredPosition: LogPosition | undefined): Promise<void> {
 		const {id} = candidate.known.pool.instance;
 		const answer = await this.#orderPromotion(announced, candidate, requiredPosition);
 		if (!answer || (answer.isOk() && answer.value === PromotionAnswer.InstanceNotRunning)) {
@@ -125,20 +135,26 @@
 		const status = await this.#waitUntilPrimary(candidate, announced.term, answer.isOk());
 		const {record} = this.#group;
 		if (!status || record?.changeIdentifier !== announced.changeIdentifier) {
-			log.write('change-stalled', {group: this.#group.name, reason: 'the promoted instance did not become the primary'});
+			this.#context.log.write('change-stalled', {group: this.#group.name, reason: 'the promoted instance did not become the primary'});
 			return;
 		}
 
-		const settled = await this.#commitRecord(record, {phase: GroupPhase.Settled, primary: id, term: status.term, ...this.#getSet(record)});
-		log.write('change-settled', {
-			group: this.#group.name, primary: id, term: status.term, known: settled !== undefined, durationMilliseconds: Math.round(timer.now() - this.#startedAt),
-		});
+		await this.#settle(record, id, status.term);
 		const old = this.#group.instances.get(announced.primary);
 		if (old && old !== candidate.known) {
 			void this.#demote(old, status.term);
 		}
 	}
 
+	/** Makes an instance the primary that leads a term. */
+	async #settle(record: VersionedGroupRecord, primary: string, term: number): Promise<void> {
+		const {log, timer} = this.#context;
+		const settled = await this.#commitRecord(record, {phase: GroupPhase.Settled, primary, term, ...this.#getSet(record)});
+		log.write('change-settled', {
+			group: this.#group.name, primary, term, known: settled !== undefined, durationMilliseconds: Math.round(timer.now() - this.#startedAt),
+		});
+	}
+
 	/** Uses the released primary again. */
 	async #giveUp(announced: VersionedGroupRecord, reason: string): Promise<void> {
 		const {primary, term} = announced;
--- a/packages/direct/src/request/candidate-choice.ts
+++ b/packages/direct/src/request/candidate-choice.ts
@@ -83,18 +83,21 @@
 	const ledTerm = getLedTerm(report, situation);
 	const isLatestLead = situation.ordered === id
 		? ledTerm > (situation.orderedFromTerm ?? situation.term)
-		: !situation.isOrderPending && reports.length === situation.instances && reports.every(({term}) => term <= ledTerm);
+		: ledTerm > situation.term && !situation.isOrderPending && reports.length === situation.instances && reports.every(({term}) => term <= ledTerm);
 	return ledTerm === 0 || isLatestLead ? {id} : {id, fromTerm: ledTerm};
 }
 
 /** Returns whether the promotion of an instance loses no commit that must survive. An instance that leads already was chosen as complete. */
 function isComplete(report: CandidateReport, situation: CandidateSituation): boolean {
 	const {isSynchronous, requiredPosition} = situation;
-	return !isSynchronous || getLedTerm(report, situation) > 0
+	return !isSynchronous || getLedTerm(report, situation) > situation.term
 		|| (requiredPosition !== undefined && compareLogPositions(report.received, requiredPosition) >= 0);
 }
 
-/** Returns the term that an instance leads, or 0 if it was not promoted during the change. */
+/**
+ * Returns the term that an instance leads, or 0 if it is a replica or leads an earlier term than the released primary. An instance
+ * that leads the term of the released primary has taken over its log.
+ */
 function getLedTerm({isPrimary, term}: CandidateReport, situation: CandidateSituation): number {
-	return isPrimary && term > situation.term ? term : 0;
+	return isPrimary && term >= situation.term ? term : 0;
 }
--- a/packages/direct/tests/fleet/synchronous-fleet.ts
+++ b/packages/direct/tests/fleet/synchronous-fleet.ts
@@ -91,14 +91,18 @@
 		}
 	}
 
-	/** Removes an instance that has left; a new one takes its place, with its log or empty. Returns the identifier of the new one. */
+	/**
+	 * Removes an instance that has left; a new one takes its place, with its log or empty. With the log of a primary, it leads the
+	 * same term. Returns the identifier of the new one.
+	 */
 	replace(id: string, keepsLog: boolean): string {
 		const former = this.group.get(id);
 		this.#joined++;
-		const joined = new FakeInstance({...former.entry, id: `orders-joined-${this.#joined}`, leaving: false, role: InstanceRole.Replica, startedAt: 1000 + this.#joined});
+		const joined = new FakeInstance({...former.entry, id: `orders-joined-${this.#joined}`, leaving: false, role: keepsLog ? former.role : InstanceRole.Replica, startedAt: 1000 + this.#joined});
 		joined.log = keepsLog ? [...former.log] : [];
 		joined.term = former.term;
 		former.isDown = true;
+		former.role = InstanceRole.Replica;
 		this.state.remove(`instances/${id}`);
 		this.group.instances.push(joined);
 		this.catchUp(joined, this.group.get(this.getLeader()));
--- a/packages/direct/tests/fleet/synchronous-replicas.test.ts
+++ b/packages/direct/tests/fleet/synchronous-replicas.test.ts
@@ -207,6 +207,30 @@
 		expect(fleet.getLostCommits(writers.results).slice(0, 3)).toEqual([]);
 	});
 
+	// Guards against writes that are refused for good although another instance has taken over the log and the lead of the lost primary.
+	it('are served by the instance that took over the lead of a lost primary', async () => {
+		const {fleet, writers} = await startWriting();
+		fleet.crash('orders-0');
+		await fleet.timer.advance(promotionTargetMilliseconds);
+		fleet.restart('orders-0', true);
+		await fleet.timer.advance(forgettingMilliseconds);
+		const primary = fleet.getLeader();
+		const [lost, deaf] = fleet.group.instances.map(({entry: {id}}) => id).filter(id => id !== primary);
+		fleet.setDeaf(deaf!, true);
+		await fleet.timer.advance(500);
+		fleet.crash(lost!);
+		fleet.crash(primary);
+		await fleet.timer.advance(forgettingMilliseconds);
+		const joined = fleet.replace(primary, true);
+		await fleet.timer.advance(promotionTargetMilliseconds);
+		fleet.setDeaf(deaf!, false);
+		expect(await isWritable(fleet)).toBe(true);
+		expect(fleet.getLeader()).toBe(joined);
+		writers.stop();
+		await fleet.timer.advance(1500);
+		expect(fleet.getLostCommits(writers.results).slice(0, 3)).toEqual([]);
+	});
+
 	// Guards against a set that a restored store or another promoter has forgotten.
 	it('survive the restoration of the store from a copy without the members', async () => {
 		const {fleet, writers} = await startWriting();
--- a/packages/direct/tests/request/candidate-choice.test.ts
+++ b/packages/direct/tests/request/candidate-choice.test.ts
@@ -4,6 +4,7 @@
 const first: CandidateReport = {id: 'first', isPrimary: false, term: 1, received: {term: 1, index: 10}};
 const second: CandidateReport = {...first, id: 'second'};
 const advanced: CandidateReport = {...second, received: {term: 1, index: 11}};
+const advancedButLeaving: CandidateReport = {...advanced, leavingMilliseconds: 4501};
 const leading: CandidateReport = {...first, isPrimary: true, term: 2};
 const leadingLater: CandidateReport = {...second, isPrimary: true, term: 3};
 const calm: CandidateSituation = {term: 1, isOrderPending: false, isUnknownOrderPending: false, instances: 2, isSynchronous: false};
@@ -20,8 +21,9 @@
 		{name: 'none while no position is known that covers the acknowledged commits', reports: [first, advanced], situation: {...calm, isSynchronous: true}, expected: undefined},
 		{name: 'none that lacks the required position', reports: [first], situation: synchronous, expected: undefined},
 		{name: 'one that leaves if only it has the required position', reports: [first, {...advanced, leavingMilliseconds: 100}], situation: synchronous, expected: {id: 'second'}},
-		{name: 'none if only one that has been leaving for too long has the required position', reports: [first, {...advanced, leavingMilliseconds: 4501}], situation: synchronous, expected: undefined},
+		{name: 'none if only one that has been leaving for too long has the required position', reports: [first, advancedButLeaving], situation: synchronous, expected: undefined},
 		{name: 'none while the ordered one has lost its log', reports: [first, advanced], situation: {...pending, ...synchronous, ordered: 'first', isOrderPending: true}, expected: undefined},
+		{name: 'the one that took over the lead of the released primary', reports: [{...first, isPrimary: true}, second], situation: calm, expected: {id: 'first', fromTerm: 1}},
 		{name: 'one that leads already, as it was chosen with the required position', reports: [leading, {...advanced, term: 3}], situation: synchronous, expected: {id: 'first', fromTerm: 2}},
 		{name: 'none without reports', reports: [], situation: calm, expected: undefined},
 		{name: 'the ordered one while its promotion may take effect', reports: [first, advanced], situation: pending, expected: {id: 'first'}},
