--- a/packages/direct/src/process/direct-host.ts
+++ b/packages/direct/src/process/direct-host.ts
@@ -184,8 +184,8 @@
 			getGroups: () => this.#groups.values(),
 			holdsLease: () => this.#access.mode === AccessMode.Direct,
 			isStoreAvailable: () => this.#follower.isAvailable,
-			readFleet: async () => this.#readAll([this.#era.keys.prefix, options.formats.configurationKey]),
-			readInstances: async () => this.#readAll([options.formats.instancePrefix]),
+			readFleet: async () => this.#follower.readAll([this.#era.keys.prefix, options.formats.configurationKey]),
+			readInstances: async () => this.#follower.readAll([options.formats.instancePrefix]),
 			waitForFollowers: async (group, change, isCurrent) => this.#delegateServer.waitForFollowers(group, change, usesDelegates(this.#fleet.hosts.size), isCurrent),
 		});
 		const client = new DelegateClient({
@@ -514,12 +514,6 @@
 		});
 	}
 
-	/** Reads parts of the store; returns whether the store responded to all reads. */
-	async #readAll(prefixes: readonly string[]): Promise<boolean> {
-		const responses = await Promise.all(prefixes.map(async prefix => this.#follower.read(prefix)));
-		return responses.every(Boolean);
-	}
-
 	#getConnectionLimit(groupName: string): number {
 		return this.#configuration?.groups.get(groupName)?.connectionLimit ?? 0;
 	}
--- a/packages/direct/src/process/store-follower.ts
+++ b/packages/direct/src/process/store-follower.ts
@@ -106,6 +106,16 @@
 		return true;
 	}
 
+	/**
+	 * Reads all items with one of several key prefixes, as `read` does.
+	 *
+	 * @returns Whether the store responded to all reads.
+	 */
+	async readAll(prefixes: readonly string[]): Promise<boolean> {
+		const responses = await Promise.all(prefixes.map(async prefix => this.read(prefix)));
+		return responses.every(Boolean);
+	}
+
 	/** Restarts the watch after an outage of the store, because a call from before or during it may never be answered. */
 	restartWatch(): void {
 		this.#watchAbort.abort();
--- a/packages/direct/src/process/synchronous-set-keeper.ts
+++ b/packages/direct/src/process/synchronous-set-keeper.ts
@@ -74,8 +74,10 @@
 		const unlisted = getUnlistedMembers(set, group.listedProcesses);
 		const before = await this.#readPositions(group);
 		const lost = unlisted.filter(({id, startedAt}) => group.instances.get(id)?.pool.instance.startedAt !== startedAt || !before.has(id));
+		const lostAt = timer.now();
 		const primaryPositions = await this.#readPositions(group, record.primary);
-		const primary = primaryPositions.get(record.primary);
+		// A primary without a free slot refuses the status request, but its responses to statements tell the position as well.
+		const primary = primaryPositions.get(record.primary) ?? group.getRequiredPosition(lostAt)?.position;
 		const after = await this.#readPositions(group);
 		const replicas = group.listedProcesses.map(({id}) => id).filter(id => id !== record.primary);
 		const isNeedless = lost.length > 0 && primary !== undefined && mayForgetLostMembers(set, {
--- a/packages/direct/tests/fleet/synchronous-fleet.ts
+++ b/packages/direct/tests/fleet/synchronous-fleet.ts
@@ -2,10 +2,19 @@
 import {InstanceRole} from '../../src/index.js';
 import {FakeFleet, type FakeClientResult} from './fake-fleet.js';
 import {FakeInstance} from './fake-group.js';
+import {type FakeStoreCopy} from './fake-store.js';
 
 /** Time after which the entry of an instance that has ended is removed, in milliseconds. */
 const entryExpiryMilliseconds = 3600;
 
+/** Returns for the times of commits and promotions whether the commits must survive the promotions. */
+export type SurvivalRule = {
+	isCommitProtected(at: number): boolean;
+	isPromotionProtected(at: number): boolean;
+};
+
+const everySurvival: SurvivalRule = {isCommitProtected: () => true, isPromotionProtected: () => true};
+
 /** Fleet whose group acknowledges a commit once a replica has received it, with instances that are lost, restart, leave and join. */
 export class SynchronousFleet extends FakeFleet {
 	#version = 1;
@@ -33,25 +42,30 @@
 		}
 	}
 
-	/** Ends the processes of all hosts and starts them again. */
-	restartHosts(): void {
-		const previous = [...this.hosts];
+	/** Ends the processes of hosts, by default all of them, and starts them again. */
+	restartHosts(indexes: readonly number[] = [...this.hosts.keys()]): void {
+		const previous = indexes.map(index => this.hosts[index]!);
 		for (const {name, host} of previous) {
 			void host[Symbol.asyncDispose]();
 			this.addHost(name, `zone-${'abc'[Number(name.split('-')[1]) % 3]!}`);
 		}
 	}
 
+	/** Restores the store from a copy. The instances and the operator write again what they wrote, and missing instances expire. */
+	restoreStore(copy: FakeStoreCopy): void {
+		this.state.restore(copy);
+		this.reportAll();
+		for (const {entry: {id}, isDown} of this.group.instances) {
+			if (isDown) {
+				this.#expireEntry(id);
+			}
+		}
+	}
+
 	/** Ends the process of an instance; its entry expires. */
 	crash(id: string): void {
-		const instance = this.group.get(id);
-		const {startedAt} = instance.entry;
-		instance.isDown = true;
-		this.timer.schedule(entryExpiryMilliseconds, () => {
-			if (instance.isDown && instance.entry.startedAt === startedAt) {
-				this.state.remove(`instances/${id}`);
-			}
-		});
+		this.group.get(id).isDown = true;
+		this.#expireEntry(id);
 	}
 
 	/** Starts an instance again, with its log or without it. */
@@ -119,13 +133,20 @@
 		}
 	}
 
-	/** Returns the acknowledged commits that a promoted instance lacked, as `instance: position`. */
-	getLostCommits(results: readonly FakeClientResult[]): string[] {
+	/**
+	 * Returns the acknowledged commits that a promoted instance lacked, as `instance: position`.
+	 *
+	 * @param results - Results of clients that write.
+	 * @param rule - Which commits must survive which promotions; by default all of them.
+	 */
+	getLostCommits(results: readonly FakeClientResult[], {isCommitProtected, isPromotionProtected}: SurvivalRule = everySurvival): string[] {
 		const acknowledgedAt = new Map(results.filter(({result}) => !result.error).map(({identifier, at}) => [identifier, at]));
+		let kept = this.group.commits.filter(({at, identifier}) => isCommitProtected(at) && acknowledgedAt.has(identifier));
 		return this.group.promotions.flatMap(({instance, term, at, log}) => {
 			const held = new Set(log.map(position => formatLogPosition(position)));
-			const due = this.group.commits.filter(({identifier, position}) => position.term < term && (acknowledgedAt.get(identifier) ?? Number.POSITIVE_INFINITY) < at);
-			return due.filter(({position}) => !held.has(formatLogPosition(position))).map(({position}) => `${instance}: ${formatLogPosition(position)}`);
+			const lost = kept.filter(({identifier, position}) => position.term < term && acknowledgedAt.get(identifier)! < at && !held.has(formatLogPosition(position)));
+			kept = kept.filter(commit => !lost.includes(commit));
+			return isPromotionProtected(at) ? lost.map(({position}) => `${instance}: ${formatLogPosition(position)}`) : [];
 		});
 	}
 
@@ -136,6 +157,16 @@
 		}
 	}
 
+	#expireEntry(id: string): void {
+		const instance = this.group.get(id);
+		const {startedAt} = instance.entry;
+		this.timer.schedule(entryExpiryMilliseconds, () => {
+			if (instance.isDown && instance.entry.startedAt === startedAt) {
+				this.state.remove(`instances/${id}`);
+			}
+		});
+	}
+
 	#report(instance: FakeInstance): void {
 		instance.entry = {...instance.entry, role: instance.role, sequence: instance.entry.sequence + 1};
 		this.putInstance(instance.entry);
--- a/packages/direct/tests/fleet/synchronous-replicas.test.ts
+++ b/packages/direct/tests/fleet/synchronous-replicas.test.ts
@@ -243,13 +243,11 @@
 			store.isUnavailable = true;
 		}
 
-		fleet.state.restore(copy);
-		fleet.state.remove('instances/orders-1');
+		fleet.restoreStore(copy);
 		for (const {store} of fleet.hosts) {
 			store.isUnavailable = false;
 		}
 
-		fleet.reportAll();
 		await fleet.timer.advance(forgettingMilliseconds);
 		expect(fleet.group.get('orders-0').role).toBe(InstanceRole.Primary);
 		fleet.crash('orders-0');
