Count the time of a process without processor time once in the test of a limited close

Host and test share one process. Change: the same limit of 1,300 ms, counted in intervals of 10 ms, so that such a time counts as one interval.

--- a/packages/direct/tests/connection/client-connection.test.ts
+++ b/packages/direct/tests/connection/client-connection.test.ts
@@ -25,6 +25,9 @@
 /** Time after which a connection is closed whose client sends nothing, in milliseconds. */
 const silentMilliseconds = 1300;
 
+/** Interval at which a test looks at a connection, in milliseconds. */
+const pollMilliseconds = 10;
+
 /** Time within which a client must learn that its connection was closed, in milliseconds. */
 const resetMilliseconds = 150;
 
@@ -213,7 +216,11 @@
 		socket.write(text);
 		await timer.sleep(serviceMilliseconds);
 		connection.closeWhenIdle();
-		await timer.sleep(silentMilliseconds);
+		// Host and test share the process, so a time without processor time counts as one interval for both.
+		for (let interval = 0; interval < silentMilliseconds / pollMilliseconds && !socket.readableEnded; interval++) {
+			await timer.sleep(pollMilliseconds);
+		}
+
 		expect(socket.readableEnded).toBe(true);
 	});
 
@@ -227,7 +234,7 @@
 		const end = timer.now() + resetMilliseconds;
 		while (!socket.destroyed && timer.now() < end) {
 			socket.write('late\n');
-			await timer.sleep(10);
+			await timer.sleep(pollMilliseconds);
 		}
 
 		expect(socket.destroyed).toBe(true);
