Rely on a synchronous set only after a comparison if sync_replicas has been 0

What callers would see: an acknowledged write is lost if a version of the configuration sets sync_replicas to 0 for a while, the instances that hold it are lost meanwhile, and sync_replicas is 1 again when the next primary is lost. Cause: without a set in the record, all listed instances counted as the whole set, although others may hold acknowledged commits. Change: a set that was not written with the first record of the group is unproven. While it is, only the released primary can tell the required position. The promoter proves it as it removes lost members: enough replicas have received what the primary had. Test: synchronous-replicas.test.ts, 'was lost while the configuration had no synchronous replicas', failed before; 'have been configured for a while' shows that promotions take place again within their time.

--- a/packages/direct/src/process/group-record-creator.ts
+++ b/packages/direct/src/process/group-record-creator.ts
@@ -1,5 +1,6 @@
 import {loadCrypto} from '@tarragonstack/core/codec/load-crypto';
 import {isMajority} from '../request/majority.js';
+import {proveSynchronousSet} from '../request/synchronous-set.js';
 import {commitGroupRecord} from './commit-group-record.js';
 import {type GroupActions} from './group-actions.js';
 import {getReign, GroupPhase, type GroupRecord, type VersionedGroupRecord} from './group-record.js';
@@ -91,7 +92,11 @@
 		const claimants = [...group.instances.values()].filter(({pool}) => pool.instance.role === InstanceRole.Primary && !pool.instance.leaving);
 		const [claimant] = claimants;
 		if (claimants.length === 1 && claimant && this.#actions.startOrCheckDelay(group.name, firstRecordDelayMilliseconds + this.#getCreationDelay())) {
-			void this.#createRecord(group, {phase: GroupPhase.Settled, primary: claimant.pool.instance.id, term: 0, changeIdentifier: loadCrypto().randomUUID()});
+			const set = group.getSynchronousSet(undefined);
+			void this.#createRecord(group, {
+				phase: GroupPhase.Settled, primary: claimant.pool.instance.id, term: 0, changeIdentifier: loadCrypto().randomUUID(),
+				...(set && {synchronousSet: proveSynchronousSet(set)}),
+			});
 		}
 	}
 
--- a/packages/direct/src/process/primary-change.ts
+++ b/packages/direct/src/process/primary-change.ts
@@ -172,7 +172,7 @@
 
 	#getSet({synchronousSet}: GroupRecord): Pick<GroupRecord, 'synchronousSet'> {
 		const set = this.#group.getSynchronousSet(synchronousSet);
-		return set ? {synchronousSet: set} : {};
+		return set && !set.isUnproven ? {synchronousSet: set} : {};
 	}
 
 	/** Orders the promotion. Returns the answer, or `undefined` if nothing was ordered. */
--- a/packages/direct/src/process/synchronous-set-keeper.ts
+++ b/packages/direct/src/process/synchronous-set-keeper.ts
@@ -1,5 +1,5 @@
 import {type LogPosition} from '@tarragonstack/core/request/log-position';
-import {getUnlistedMembers, mayForgetLostMembers, type SynchronousSet} from '../request/synchronous-set.js';
+import {getUnlistedMembers, mayForgetLostMembers, proveSynchronousSet, type SynchronousSet} from '../request/synchronous-set.js';
 import {commitGroupRecord} from './commit-group-record.js';
 import {GroupActions} from './group-actions.js';
 import {getReign, type VersionedGroupRecord} from './group-record.js';
@@ -61,15 +61,15 @@
 		}
 
 		const set = group.getSynchronousSet(record.synchronousSet);
-		if (!isSameSet(set, record.synchronousSet)) {
+		if (!set?.isUnproven && !isSameSet(set, record.synchronousSet)) {
 			void this.#actions.runExclusively(group.name, async () => this.#write(group, record, set));
 		} else if (set) {
-			void this.#comparisons.runExclusively(group.name, async () => this.#forgetLostMembers(group, record, set));
+			void this.#comparisons.runExclusively(group.name, async () => this.#compare(group, record, set));
 		}
 	}
 
-	/** Removes the members that have neither an entry nor a response to this host, if they are needless. */
-	async #forgetLostMembers(group: InstanceGroupState, record: VersionedGroupRecord, set: SynchronousSet): Promise<void> {
+	/** Removes the members that have neither an entry nor a response to this host, if they are needless. Proves an unproven set. */
+	async #compare(group: InstanceGroupState, record: VersionedGroupRecord, set: SynchronousSet): Promise<void> {
 		const {timer, log} = this.#context;
 		const unlisted = getUnlistedMembers(set, group.listedProcesses);
 		const before = await this.#readPositions(group);
@@ -80,7 +80,7 @@
 		const primary = primaryPositions.get(record.primary) ?? group.getRequiredPosition(lostAt)?.position;
 		const after = await this.#readPositions(group);
 		const replicas = group.listedProcesses.map(({id}) => id).filter(id => id !== record.primary);
-		const isNeedless = lost.length > 0 && primary !== undefined && mayForgetLostMembers(set, {
+		const isNeedless = (lost.length > 0 || set.isUnproven) && primary !== undefined && mayForgetLostMembers(set, {
 			primary, before: replicas.flatMap(id => before.get(id) ?? []), after: replicas.flatMap(id => after.get(id) ?? []),
 		});
 		if (!isNeedless) {
@@ -89,8 +89,10 @@
 		}
 
 		const members = set.members.filter(member => !lost.includes(member));
-		log.write('synchronous-set-reduced', {group: group.name, removed: JSON.stringify(lost), members: JSON.stringify(members), position: JSON.stringify(primary)});
-		await this.#actions.runExclusively(group.name, async () => this.#write(group, record, {...set, members}));
+		log.write(set.isUnproven ? 'synchronous-set-proven' : 'synchronous-set-reduced', {
+			group: group.name, removed: JSON.stringify(lost), members: JSON.stringify(members), position: JSON.stringify(primary),
+		});
+		await this.#actions.runExclusively(group.name, async () => this.#write(group, record, proveSynchronousSet({...set, members})));
 	}
 
 	/**
--- a/packages/direct/src/request/required-position.ts
+++ b/packages/direct/src/request/required-position.ts
@@ -32,7 +32,7 @@
  * Finds a log position that covers every commit acknowledged before all hosts released the primary.
  *
  * Of any `members - synchronousReplicas + 1` members besides the primary, at least one holds each acknowledged commit. A process
- * that has left without a trace counts as a member that does not report.
+ * that has left without a trace counts as a member that does not report. If the set is unproven, only the primary can tell.
  *
  * @param evidence - Reports that were made after the release.
  */
@@ -44,7 +44,7 @@
 	const holders = set.members.filter(({id}) => id !== primary);
 	const missing = holders.filter(holder => !reports.some(report => isSameProcess(holder, report)));
 	const newest = reports.map(({received}) => received).toSorted(compareLogPositions).at(-1);
-	if (newest && holders.length - missing.length >= Math.max(1, holders.length - set.synchronousReplicas + 1)) {
+	if (newest && !set.isUnproven && holders.length - missing.length >= Math.max(1, holders.length - set.synchronousReplicas + 1)) {
 		return {position: newest, missing: []};
 	}
 
--- a/packages/direct/src/request/synchronous-set.ts
+++ b/packages/direct/src/request/synchronous-set.ts
@@ -20,6 +20,11 @@
  */
 export type SynchronousSet = SynchronousReplication & {
 	readonly members: readonly InstanceProcess[];
+	/**
+	 * Whether the set was taken from the listed instances without a comparison with the primary, as after a time without synchronous
+	 * replicas. Instances that nobody remembers may hold acknowledged commits.
+	 */
+	readonly isUnproven?: boolean;
 };
 
 /** Returns whether two values name the same process. */
@@ -55,9 +60,15 @@
 	return {
 		configurationVersion, synchronousReplicas,
 		members: [...members, ...added.map(({id, startedAt}) => ({id, startedAt}))],
+		...(!recorded && {isUnproven: true}),
 	};
 }
 
+/** Returns a set that has been compared with the primary, or whose group has just begun. */
+export function proveSynchronousSet({isUnproven: _, ...set}: SynchronousSet): SynchronousSet {
+	return set;
+}
+
 /** Returns the members that have no entry in the store. */
 export function getUnlistedMembers({members}: SynchronousSet, listed: readonly InstanceProcess[]): InstanceProcess[] {
 	return members.filter(member => !listed.some(process => isSameProcess(member, process)));
--- a/packages/direct/tests/fleet/synchronous-replicas.test.ts
+++ b/packages/direct/tests/fleet/synchronous-replicas.test.ts
@@ -127,6 +127,32 @@
 		},
 		promoted: 'orders-joined-1',
 	},
+	{
+		name: 'the replica that holds them was lost while the configuration had no synchronous replicas',
+		async play(fleet) {
+			fleet.setDeaf('orders-2', true);
+			await fleet.timer.advance(500);
+			fleet.setSynchronousReplicas(0);
+			await fleet.timer.advance(500);
+			fleet.crash('orders-1');
+			await fleet.timer.advance(forgettingMilliseconds);
+			fleet.setSynchronousReplicas(1);
+			await fleet.timer.advance(500);
+			fleet.crash('orders-0');
+		},
+		promoted: undefined,
+	},
+	{
+		name: 'synchronous replicas have been configured for a while',
+		async play(fleet) {
+			fleet.setSynchronousReplicas(0);
+			await fleet.timer.advance(1000);
+			fleet.setSynchronousReplicas(1);
+			await fleet.timer.advance(1000);
+			fleet.crash('orders-0');
+		},
+		promoted: 'orders-1',
+	},
 	{
 		name: 'a version of the configuration with synchronous replicas has just been written',
 		async play(fleet) {
