Wait for a response of a primary that refuses status requests before its position is read

What callers would see: no promotion for as long as a lost replica isn't forgotten, if the primary was overloaded from the loss until its own. Cause: takes the position from a response to a statement that was sent after the loss, but looked for it at once when the status was refused. No such response can have arrived by then. Only groups with synchronous replicas that have lost a member run this.

--- a/packages/direct/src/process/synchronous-set-keeper.ts
+++ b/packages/direct/src/process/synchronous-set-keeper.ts
@@ -75,9 +75,7 @@
 		const before = await this.#readPositions(group);
 		const lost = unlisted.filter(({id, startedAt}) => group.instances.get(id)?.pool.instance.startedAt !== startedAt || !before.has(id));
 		const lostAt = timer.now();
-		const primaryPositions = await this.#readPositions(group, record.primary);
-		// A primary without a free slot refuses the status request, but its responses to statements tell the position as well.
-		const primary = primaryPositions.get(record.primary) ?? group.getRequiredPosition(lostAt)?.position;
+		const primary = await this.#readPrimaryPosition(group, record.primary, lostAt);
 		const after = await this.#readPositions(group);
 		const replicas = group.listedProcesses.map(({id}) => id).filter(id => id !== record.primary);
 		const isNeedless = (lost.length > 0 || set.isUnproven) && primary !== undefined && mayForgetLostMembers(set, {
@@ -95,6 +93,23 @@
 		await this.#actions.runExclusively(group.name, async () => this.#write(group, record, proveSynchronousSet({...set, members})));
 	}
 
+	/**
+	 * Reads the position of the primary. A primary without a free slot refuses the status request, but its responses to statements
+	 * tell the position as well.
+	 *
+	 * @param group - Group of the primary.
+	 * @param primary - Identifier of the primary.
+	 * @param notBefore - Monotonic time after which a statement must have been sent for its response to count.
+	 */
+	async #readPrimaryPosition(group: InstanceGroupState, primary: string, notBefore: number): Promise<LogPosition | undefined> {
+		const positions = await this.#readPositions(group, primary);
+		if (!positions.has(primary)) {
+			await this.#context.timer.sleep(retryDelayMilliseconds);
+		}
+
+		return positions.get(primary) ?? group.getRequiredPosition(notBefore)?.position;
+	}
+
 	/**
 	 * Reads the log positions of the instances that respond.
 	 *
--- a/packages/direct/tests/fleet/fake-group.ts
+++ b/packages/direct/tests/fleet/fake-group.ts
@@ -41,6 +41,8 @@
 	readonly unreachableFrom = new Set<string>();
 	/** Monotonic time before which connections were opened that have gone silent: they are not closed, but get no response. */
 	silentBefore = Number.NEGATIVE_INFINITY;
+	/** Whether the instance has no free slot for status requests. */
+	refusesStatus = false;
 	/** Whether commits of the primary are replicated to the instance. */
 	receivesCommits = true;
 	/** Number of batches whose responses are lost after their statements have run. */
@@ -220,7 +222,11 @@
 
 	async readStatus(deadline: number): Promise<Result<InstanceStatus, ChannelError>> {
 		await this.#timer.sleep(2);
-		return this.#isUnreachable() ? this.#failAtDeadline(deadline) : ok(this.#getStatus());
+		if (this.#isUnreachable()) {
+			return this.#failAtDeadline(deadline);
+		}
+
+		return this.#instance.refusesStatus ? err({failure: ChannelFailure.Broken, message: 'busy'}) : ok(this.#getStatus());
 	}
 
 	async demote(term: number, deadline: number): Promise<Result<InstanceStatus, ChannelError>> {
--- a/packages/direct/tests/fleet/synchronous-replicas.test.ts
+++ b/packages/direct/tests/fleet/synchronous-replicas.test.ts
@@ -105,6 +105,16 @@
 		},
 		promoted: 'orders-2',
 	},
+	{
+		name: 'a replica was lost while the primary had no free slot for status requests',
+		async play(fleet) {
+			fleet.group.get('orders-0').refusesStatus = true;
+			fleet.crash('orders-1');
+			await fleet.timer.advance(forgettingMilliseconds);
+			fleet.crash('orders-0');
+		},
+		promoted: 'orders-2',
+	},
 	{
 		name: 'a replica has just been replaced as planned',
 		async play(fleet) {
